--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+DEPLOYMENT ?= skogvottun
+PYTHON ?= python3.11
+BIN := .venv/bin
+
+.PHONY: demo test soak bench format venv
+
+venv: .venv/.installed
+
+.venv/.installed: pyproject.toml constraints.txt
+	$(PYTHON) -m venv .venv || python3 -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+		-c constraints.txt -e '.[bench,test]'
+	touch $@
+
+demo: venv
+	$(BIN)/python -m examples.demo --deployment=$(DEPLOYMENT)
+
+test: venv
+	BIN=$(BIN) bin/check
+
+soak: venv
+	HYPOTHESIS_PROFILE=soak $(BIN)/python -m pytest
+
+bench: venv
+	$(BIN)/python bench/path.py
+	$(BIN)/ebonypick-bench
+
+format: venv
+	$(BIN)/ruff format ebonypick standins examples bench tests bin
--- /dev/null
+++ b/ebonypick/__init__.py
@@ -0,0 +1,1 @@
+"""ebonypick steers callers' requests to backend servers across regions."""
--- /dev/null
+++ b/ebonypick/connection/_backend_http.py
@@ -0,0 +1,175 @@
+"""The adapter of backend servers that speak HTTP/1.1."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+import aiohttp
+import msgspec
+
+from ebonypick import events
+from ebonypick import request
+from ebonypick.connection import _adapters
+from ebonypick.connection import _pool
+
+REQUEST_ID = 'x-request-id'
+DEADLINE_MS = 'x-deadline-ms'
+STATUS = 'x-request-status'
+PROBE_TIMEOUT_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class LoadReport:
+    """The body of a backend server's load report."""
+
+    slots: int
+    busy: int
+    leaving: bool = False
+    cold: bool = False
+
+
+class ForeignAnswerError(Exception):
+    """The answer names another request."""
+
+
+@_adapters.backend_adapters.register('http')
+class BackendLink:
+    """The connections to one backend server; an async context manager.
+
+    Parameters
+    ==========
+    name : str
+        The backend server.
+    address : str
+        IP number.
+    port : int
+        TCP port.
+    """
+
+    def __init__(self, name, address, port):
+        self.name = name
+        self.pool = _pool.Pool(address, port)
+
+    async def __aenter__(self):
+        await self.pool.__aenter__()
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self.pool.__aexit__(*exc_info)
+
+    @contextlib.asynccontextmanager
+    async def send(self, info, path, headers, data, fresh, timeout_s):
+        """Send a caller's request; give (result, response).
+
+        Parameters
+        ==========
+        info : RequestInfo
+            The request.
+        path : str
+            Path and query as the caller sent them.
+        headers : list of (str, str)
+            End-to-end headers.
+        data : bytes or async generator or None
+            The body.
+        fresh : bool
+            Whether to open a connection of its own.
+        timeout_s : float
+            Longest time to the response's head.
+
+        Raises
+        ======
+        ForeignAnswerError
+            If the answer is not the one to this request.
+        connection.ConnectFailedError, connection.LostError
+            As in ``Pool.request``.
+        """
+        own = [
+            (REQUEST_ID, info.req),
+            (DEADLINE_MS, str(max(1, int(timeout_s * 1000)))),
+        ]
+        async with self.pool.request(
+            info.method,
+            path,
+            headers + own,
+            data,
+            fresh=fresh or not info.idempotent,
+            timeout_s=timeout_s,
+        ) as resp:
+            found = resp.headers.get(REQUEST_ID)
+            if found != info.req:
+                events.FOREIGN_ANSWER.log(req=info.req, found=found)
+                raise ForeignAnswerError(f'the answer names {found!r}')
+            shed = resp.headers.get(STATUS) == 'not-run'
+            result = request.Result.SHED if shed else request.Result.DONE
+            yield result, resp
+
+    async def cancel(self, req):
+        """Cancel a request; return whether it certainly was not run."""
+        try:
+            status, body = await self.pool.call_json(
+                'POST', f'/_control/cancel/{req}', timeout_s=PROBE_TIMEOUT_S
+            )
+            return status == 200 and msgspec.json.decode(body) == {
+                'state': 'not-run'
+            }
+        except (
+            _pool.ConnectFailedError,
+            _pool.LostError,
+            msgspec.MsgspecError,
+        ):
+            return False
+
+    async def report(self):
+        """Return the server's load report, or None where it has none.
+
+        Raises
+        ======
+        connection.ConnectFailedError, connection.LostError
+            If the server cannot be reached.
+        """
+        status, body = await self.pool.call_json(
+            'GET', '/_control/load', timeout_s=PROBE_TIMEOUT_S
+        )
+        if status != 200:
+            return None
+        try:
+            found = msgspec.json.decode(body, type=LoadReport)
+        except msgspec.MsgspecError:
+            return None
+        return request.Report(
+            found.busy, found.slots, found.leaving, found.cold
+        )
+
+
+def make_backend_link(kind, name, address, port):
+    """Return the link to a backend server by the adapter ``kind``."""
+    return _adapters.backend_adapters.get(kind)(name, address, port)
+
+
+async def read_start(resp, limit):
+    """Read up to ``limit`` bytes of a body.
+
+    Returns
+    =======
+    data : bytes
+        What was read.
+    ended : bool
+        Whether that was the whole body.
+
+    Raises
+    ======
+    connection.LostError
+        If the body was truncated.
+    """
+    parts = []
+    size = 0
+    try:
+        while size < limit:
+            part = await resp.content.readany()
+            if not part and resp.content.at_eof():
+                return b''.join(parts), True
+            parts.append(part)
+            size += len(part)
+    except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as exc:
+        raise _pool.LostError(type(exc).__name__) from exc
+    return b''.join(parts), resp.content.at_eof()
--- /dev/null
+++ b/ebonypick/connection/_headers.py
@@ -0,0 +1,66 @@
+"""Names of the headers between callers, entry hosts and backend servers."""
+
+SERVICE = 'ebonypick-service'
+DEADLINE_MS = 'ebonypick-deadline-ms'
+OUTCOME = 'ebonypick-outcome'
+REQUEST_ID = 'ebonypick-request-id'
+CONFIG_VERSION = 'ebonypick-config-version'
+KEY_PREFIX = 'ebonypick-key-prefix'
+LEAVING = 'ebonypick-leaving'
+IDEMPOTENCY_KEY = 'idempotency-key'
+PROXY_STATUS = 'proxy-status'
+RETRY_AFTER = 'retry-after'
+
+# Between entry hosts only.
+HOP = 'ebonypick-hop'
+HOP_REGION = 'ebonypick-hop-region'
+AVOID = 'ebonypick-avoid'
+LOAD = 'ebonypick-load'
+BACKEND = 'ebonypick-backend'
+
+# RFC 9110, section 7.6.1, and framing, which each hop sets anew.
+HOP_BY_HOP = frozenset(
+    {
+        'connection',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+_OWN_PREFIX = 'ebonypick-'
+
+
+def end_to_end(headers):
+    """Return the headers that are passed on, without our own.
+
+    Examples
+    ========
+    >>> end_to_end([('Connection', 'close'), ('Accept', 'a/b')])
+    [('Accept', 'a/b')]
+
+    Parameters
+    ==========
+    headers : iterable of (str, str)
+        Names and values.
+    """
+    rows = list(headers)
+    named = {
+        token.strip().lower()
+        for name, value in rows
+        if name.lower() == 'connection'
+        for token in value.split(',')
+    }
+    return [
+        (name, value)
+        for name, value in rows
+        if name.lower() not in HOP_BY_HOP
+        and name.lower() not in named
+        and not name.lower().startswith(_OWN_PREFIX)
+    ]
--- /dev/null
+++ b/ebonypick/events.py
@@ -0,0 +1,122 @@
+"""Numbered log events; the catalogue page is generated from here."""
+
+import dataclasses
+
+import eliot
+
+_catalogue = {}
+
+
+@dataclasses.dataclass(frozen=True)
+class Event:
+    """One kind of log line.
+
+    Parameters
+    ==========
+    code : str
+        Its number, such as ``EP1203``.
+    text : str
+        What happened, in one sentence.
+    fields : tuple of str
+        The names of the fields that each line carries.
+    """
+
+    code: str
+    text: str
+    fields: tuple
+
+    def log(self, **fields):
+        """Write one line with the given fields."""
+        eliot.log_message(message_type=self.code, text=self.text, **fields)
+
+
+def define(code, text, *fields):
+    """Return a new event and file it in the catalogue.
+
+    Raises
+    ======
+    ValueError
+        If the code is taken.
+    """
+    if code in _catalogue:
+        raise ValueError(f'The event {code} is defined twice.')
+    event = Event(code, text, fields)
+    _catalogue[code] = event
+    return event
+
+
+def catalogue():
+    """Return all events, sorted by their code."""
+    return tuple(_catalogue[code] for code in sorted(_catalogue))
+
+
+PROCESS_STARTED = define(
+    'EP1001', 'The process serves.', 'host', 'address', 'port'
+)
+PROCESS_LEAVING = define(
+    'EP1002', 'A planned stop began.', 'host', 'in_flight'
+)
+PROCESS_STOPPED = define('EP1003', 'The process ends.', 'host', 'in_flight')
+LOOKUP = define(
+    'EP1101', 'A caller was told its entry hosts.', 'client', 'region', 'hosts'
+)
+ROUTED = define(
+    'EP1201',
+    'A request was routed to an owner.',
+    'req',
+    'service',
+    'owner',
+    'reason',
+    'attempt',
+)
+PLACED = define(
+    'EP1202',
+    'A request was given a slot.',
+    'req',
+    'service',
+    'backend',
+    'waited_ms',
+)
+REFUSED = define(
+    'EP1203',
+    'A request was refused by an owner.',
+    'req',
+    'service',
+    'reason',
+    'retry_after_s',
+)
+ANSWERED = define(
+    'EP1204', 'A request was answered.', 'req', 'service', 'outcome', 'status'
+)
+FOREIGN_ANSWER = define(
+    'EP1205', 'An answer to another request was dropped.', 'req', 'found'
+)
+SHED = define(
+    'EP1206', 'A backend server shed a request.', 'req', 'backend', 'limit'
+)
+HEDGED = define(
+    'EP1207', 'A read was sent a second time.', 'req', 'service', 'waited_ms'
+)
+SILENT = define(
+    'EP1208', 'A silent connection was retired.', 'peer', 'generation'
+)
+BACKEND_CHANGED = define(
+    'EP1301', 'A backend server changed its state.', 'backend', 'state', 'why'
+)
+OWNERSHIP_CHANGED = define(
+    'EP1302', 'The owned backend servers changed.', 'service', 'backends'
+)
+MEMBER_CHANGED = define(
+    'EP1303', 'An entry host changed its state.', 'member', 'state', 'why'
+)
+CONFIG_IN_FORCE = define(
+    'EP1401', 'A configuration is in force.', 'version', 'digest', 'source'
+)
+CONFIG_IGNORED = define(
+    'EP1402', 'A configuration was not taken.', 'version', 'have', 'why'
+)
+PLATFORM_FAILED = define('EP1403', 'The platform failed.', 'why')
+SHIFT_STEP = define(
+    'EP1501', 'A shift allows another share.', 'shift', 'share'
+)
+TASK_FAILED = define('EP1901', 'A task failed and goes on.', 'task', 'why')
--- /dev/null
+++ b/ebonypick/process/__init__.py
@@ -0,0 +1,29 @@
+"""What lives as long as a process: membership, tasks, the entry host."""
+
+from ebonypick.process._membership import CentreRecord
+from ebonypick.process._membership import HostRecord
+from ebonypick.process._membership import Membership
+from ebonypick.process._membership import Message
+from ebonypick.process._membership import View
+from ebonypick.process._membership import rendezvous
+from ebonypick.process._node import EntryHost
+from ebonypick.process._node import make_entry_host
+from ebonypick.process._ownership import make_layout
+from ebonypick.process._settings import Endpoint
+from ebonypick.process._settings import Settings
+from ebonypick.process._settings import load_settings
+
+__all__ = (
+    'CentreRecord',
+    'Endpoint',
+    'EntryHost',
+    'HostRecord',
+    'Membership',
+    'Message',
+    'Settings',
+    'View',
+    'load_settings',
+    'make_entry_host',
+    'make_layout',
+    'rendezvous',
+)
--- /dev/null
+++ b/ebonypick/process/_board.py
@@ -0,0 +1,51 @@
+"""Immutable snapshots that the owning tasks publish for all others."""
+
+import asyncio
+
+
+class Board:
+    """The latest values of a process, each published by one task.
+
+    Explanation
+    ===========
+    Readers get immutable values and never reach into the publisher's state.
+    Each publication wakes those that wait for a change.
+
+    Examples
+    ========
+    >>> board = Board()
+    >>> board.publish(view='v1')
+    >>> board.view, board.version
+    ('v1', None)
+    """
+
+    def __init__(self):
+        self.version = None
+        self.blocks = None
+        self.view = None
+        self.leaving_hosts = frozenset()
+        self.platform_time = None
+        self.leaving = False
+        self._changed = asyncio.Event()
+
+    def publish(self, **values):
+        """Set values by name and wake the waiting tasks."""
+        for name, value in values.items():
+            setattr(self, name, value)
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    async def changed(self):
+        """Wait for the next publication."""
+        await self._changed.wait()
+
+    @property
+    def number(self):
+        """The number of the configuration in force, or 0."""
+        return self.version.number if self.version else 0
+
+    def platform_now(self):
+        """Return a lower bound of the platform's time, or None."""
+        if self.platform_time is None:
+            return None
+        return self.platform_time.now()
--- /dev/null
+++ b/ebonypick/process/_claims.py
@@ -0,0 +1,258 @@
+"""Claims of idempotency keys, kept at an entry host or in the table."""
+
+import asyncio
+import base64
+import dataclasses
+import time
+import uuid
+
+import msgspec
+
+from ebonypick import connection
+from ebonypick import errors
+from ebonypick import registry
+from ebonypick import request
+
+claim_places = registry.Registry('place of idempotency keys')
+
+ASK_TIMEOUT_S = 1.0
+RECORD_BODY_LIMIT_BYTES = 16_384
+RELEASE_TRIES = 20
+RELEASE_PAUSE_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimCall:
+    """What an entry host asks the one that issued a key.
+
+    Parameters
+    ==========
+    action : str
+        ``claim``, ``finish`` or ``release``.
+    key : str
+        The idempotency key.
+    holder : str
+        Unique for the attempt.
+    record : Record or None
+        The answer, where the action is ``finish``.
+    """
+
+    action: str
+    key: str
+    holder: str
+    record: request.Record | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimReply:
+    """What became of it: ``granted``, ``running``, ``finished``,
+    ``forgotten`` or ``noted``.
+    """
+
+    state: str
+    record: request.Record | None = None
+    reason: str = ''
+
+
+def make_record(status, headers, body):
+    """Return the record of an answer; a large body is left out."""
+    kept = None
+    if body is not None and len(body) <= RECORD_BODY_LIMIT_BYTES:
+        kept = base64.b64encode(body).decode('ascii')
+    return request.Record(status, tuple(headers), kept)
+
+
+def record_body(record):
+    """Return the body of a record; empty where it was too large to keep."""
+    return base64.b64decode(record.body) if record.body else b''
+
+
+def apply_call(ledger, call, now):
+    """Apply a call to the ledger of this host; return the reply."""
+    key = request.parse_key(call.key)
+    if key is None:
+        return ClaimReply('forgotten', reason='it is malformed')
+    if call.action == 'finish' and call.record is not None:
+        ledger.finish(key, call.holder, call.record)
+        return ClaimReply('noted')
+    if call.action == 'release':
+        ledger.release(key, call.holder)
+        return ClaimReply('noted')
+    found = ledger.claim(key, call.holder, now)
+    if isinstance(found, request.Granted):
+        return ClaimReply('granted')
+    if isinstance(found, request.Running):
+        return ClaimReply('running')
+    if isinstance(found, request.Finished):
+        return ClaimReply('finished', found.record)
+    return ClaimReply('forgotten', reason=found.reason)
+
+
+def _settle(reply, key):
+    """Return the record of a finished key, or None if it is granted.
+
+    Raises
+    ======
+    errors.DuplicateRequestError, errors.KeyUnknownError
+        If the request must not be run.
+    """
+    if reply.state == 'granted':
+        return None
+    if reply.state == 'finished':
+        return reply.record
+    if reply.state == 'running':
+        raise errors.DuplicateRequestError(key=key)
+    raise errors.KeyUnknownError(key=key, reason=reply.reason)
+
+
+@claim_places.register('host')
+class HostClaim:
+    """A claim kept by the entry host that issued the key.
+
+    Parameters
+    ==========
+    node : object
+        Has ``host``, ``ledger``, ``peers``, ``tasks`` and ``platform``.
+    service, key : str
+        What is claimed.
+    """
+
+    def __init__(self, node, service, key):
+        self._node = node
+        self._key = key
+        self._holder = uuid.uuid4().hex
+        self._parsed = request.parse_key(key)
+        if self._parsed is None:
+            raise errors.BadKeyError(
+                found=key[:80], reason='it has no prefix of an entry host'
+            )
+
+    async def take(self):
+        """Claim the key; return the record if the request ran before."""
+        reply = await self._call('claim')
+        return _settle(reply, self._key)
+
+    async def _call(self, action, record=None):
+        call = ClaimCall(action, self._key, self._holder, record)
+        if self._parsed.host == self._node.host:
+            return apply_call(self._node.ledger, call, time.monotonic())
+        peer = self._node.peers.get(self._parsed.host)
+        if peer is None:
+            reason = f'there is no entry host {self._parsed.host!r}'
+            return ClaimReply('forgotten', reason=reason)
+        try:
+            status, body = await peer.call_json(
+                'POST',
+                '/peer/v1/claims',
+                msgspec.json.encode(call),
+                timeout_s=ASK_TIMEOUT_S,
+            )
+            if status == 200:
+                return msgspec.json.decode(body, type=ClaimReply)
+        except (
+            connection.ConnectFailedError,
+            connection.LostError,
+            msgspec.MsgspecError,
+        ):
+            pass
+        reason = f'the entry host {self._parsed.host} cannot be asked'
+        return ClaimReply('forgotten', reason=reason)
+
+    async def finish(self, record):
+        """Keep the answer of the request, which ran."""
+        await self._call('finish', record)
+
+    async def release(self):
+        """Give the claim back; the request was certainly not run."""
+        await self._call('release')
+
+
+@claim_places.register('table')
+class TableClaim:
+    """A claim kept as a row of the platform's table.
+
+    Explanation
+    ===========
+    The row outlives every entry host. Its condition admits one holder, so
+    no clock and no lease decides. While the table is out, requests with
+    keys are answered ``not-run``.
+    """
+
+    def __init__(self, node, service, key):
+        if len(key) > 200 or not key.isprintable() or '/' in key:
+            raise errors.BadKeyError(found=key[:80], reason='its form')
+        self._node = node
+        self._key = key
+        self._row = f'once/{service}/{key}'
+        self._holder = uuid.uuid4().hex
+
+    async def _write(self, revision, value):
+        return await self._node.platform.write(
+            connection.Transaction(
+                (connection.Condition(self._row, revision),),
+                (connection.Put(self._row, value),),
+            )
+        )
+
+    async def take(self):
+        """Claim the key; return the record if the request ran before."""
+        try:
+            with_holder = {'holder': self._holder, 'record': None}
+            if await self._write(0, with_holder):
+                return None
+        except errors.PlatformError:
+            # The write may have been made: the row tells.
+            pass
+        try:
+            row = await self._node.platform.read_row(self._row)
+        except errors.PlatformError as exc:
+            # The row may be there with no run behind it. Taking it away
+            # later lets the caller's next try run.
+            self._node.tasks.start(self._release_later())
+            raise errors.StoreUnavailableError() from exc
+        if row is None:
+            raise errors.StoreUnavailableError()
+        if row.value['holder'] == self._holder:
+            return None
+        if row.value['record'] is None:
+            raise errors.DuplicateRequestError(key=self._key)
+        return msgspec.convert(row.value['record'], request.Record)
+
+    async def finish(self, record):
+        """Keep the answer of the request, which ran."""
+        value = {
+            'holder': self._holder,
+            'record': msgspec.to_builtins(record),
+        }
+        try:
+            await self._write(1, value)
+        except errors.PlatformError:
+            # The row stays claimed: later tries are told so, none runs.
+            pass
+
+    async def release(self):
+        """Give the claim back; the request was certainly not run."""
+        self._node.tasks.start(self._release_later())
+
+    async def _release_later(self):
+        for _ in range(RELEASE_TRIES):
+            try:
+                row = await self._node.platform.read_row(self._row)
+                if row is None or row.value['holder'] != self._holder:
+                    return
+                if await self._write(row.revision, None):
+                    return
+            except errors.PlatformError:
+                pass
+            await asyncio.sleep(RELEASE_PAUSE_S)
+
+
+def make_claim(kind, node, service, key):
+    """Return a claim of the registered kind.
+
+    Raises
+    ======
+    errors.BadKeyError
+        If the key has not the form that the kind needs.
+    """
+    return claim_places.get(kind)(node, service, key)
--- /dev/null
+++ b/ebonypick/process/_control.py
@@ -0,0 +1,162 @@
+"""The control interfaces: look-ups, status, metrics, and those of peers."""
+
+import dataclasses
+import ipaddress
+import time
+
+import msgspec
+
+from ebonypick import errors
+from ebonypick import events
+from ebonypick import registry
+from ebonypick import request
+from ebonypick.process import _claims
+from ebonypick.process import _reader
+
+controls = registry.Registry('control path')
+
+BODY_LIMIT_BYTES = 1 << 20
+BODY_TIMEOUT_S = 2.0
+JSON = [('content-type', 'application/json')]
+TEXT = [('content-type', 'text/plain; version=0.0.4; charset=utf-8')]
+PUBLIC = frozenset({'/livez', '/readyz', '/v1/entry-hosts'})
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """The answer of a control interface."""
+
+    status: int
+    body: bytes
+    headers: list = dataclasses.field(default_factory=lambda: list(JSON))
+
+
+def _json(value, status=200):
+    return Reply(status, msgspec.json.encode(value))
+
+
+async def serve_control(node, req):
+    """Answer a request for a control interface.
+
+    Raises
+    ======
+    errors.NotFoundError, errors.NotAllowedError
+        If there is none, or it is not for this client.
+    """
+    path = req.path
+    if path not in controls.names():
+        raise errors.NotFoundError(path=path[:80])
+    if path not in PUBLIC and not node.trusts(req.client):
+        raise errors.NotAllowedError(address=req.client, path=path)
+    reply = await controls.get(path)(node, req)
+    await req.respond(reply.status, reply.headers, reply.body)
+
+
+async def _read_body(req):
+    parts = []
+    size = 0
+    while True:
+        part = await req.read(BODY_TIMEOUT_S)
+        if part is None:
+            return b''.join(parts)
+        parts.append(part)
+        size += len(part)
+        if size > BODY_LIMIT_BYTES:
+            raise errors.BodyTooLargeError(
+                found=size, service='control', limit=BODY_LIMIT_BYTES
+            )
+
+
+@controls.register('/livez')
+async def livez(node, req):
+    """Tell that the process answers."""
+    return _json({'live': True})
+
+
+@controls.register('/readyz')
+async def readyz(node, req):
+    """Tell whether callers should come here."""
+    reason = node.not_ready_reason()
+    body = {'ready': reason is None, 'reason': reason}
+    return _json(body, 200 if reason is None else 503)
+
+
+@controls.register('/metrics')
+async def metrics(node, req):
+    """Give the metrics."""
+    return Reply(200, node.metrics.render(), list(TEXT))
+
+
+@controls.register('/v1/entry-hosts')
+async def entry_hosts(node, req):
+    """Answer a look-up."""
+    reason = node.not_ready_reason()
+    if reason is not None and not node.board.leaving:
+        raise errors.NotReadyError(reason=reason)
+    board = node.board
+    cfg = board.version.cfg
+    service = req.query.get('service')
+    if service not in cfg.base.services:
+        raise errors.UnknownServiceError(
+            service=service, known=', '.join(sorted(cfg.base.services))
+        )
+    client = req.query.get('client', req.client)
+    region = _client_region(node, client)
+    found = request.look_up(
+        cfg, board.view, region, node.layouts[service].places
+    )
+    node.metrics.lookups.inc()
+    events.LOOKUP.log(
+        client=client, region=region, hosts=[item.name for item in found]
+    )
+    return _json(
+        {
+            'service': service,
+            'region': region,
+            'entry_hosts': found,
+            'config_version': board.number,
+            'ttl_ms': cfg.base.lookup_ttl_ms,
+            'key_prefix': node.key_prefix(),
+        }
+    )
+
+
+def _client_region(node, client):
+    try:
+        ip = ipaddress.ip_address(client)
+    except ValueError as exc:
+        raise errors.RequestError(
+            reason=f'client={client[:60]!r} is no IP number'
+        ) from exc
+    found = node.board.blocks.find_int(int(ip), ip.version)
+    return found or node.settings.region
+
+
+@controls.register('/v1/status')
+async def status(node, req):
+    """Give the operators' status."""
+    return _json(node.status())
+
+
+@controls.register('/peer/v1/gossip')
+async def gossip(node, req):
+    """Take in a peer's message and answer with ours."""
+    return Reply(200, node.gossip.receive(await _read_body(req)))
+
+
+@controls.register('/peer/v1/config')
+async def config(node, req):
+    """Give a peer the delta to our configuration."""
+    text = req.query.get('since', '0')
+    since = int(text) if text.isdigit() else 0
+    delta = node.reader.delta_since(since)
+    if delta is None:
+        return _json({}, 404)
+    return Reply(200, _reader.encode_delta(delta))
+
+
+@controls.register('/peer/v1/claims')
+async def claims(node, req):
+    """Apply a peer's call to the idempotency keys of this host."""
+    call = msgspec.json.decode(await _read_body(req), type=_claims.ClaimCall)
+    return _json(_claims.apply_call(node.ledger, call, time.monotonic()))
--- /dev/null
+++ b/ebonypick/process/_gossip.py
@@ -0,0 +1,144 @@
+"""The task that exchanges membership messages with other entry hosts."""
+
+import asyncio
+import time
+
+import msgspec
+
+from ebonypick import connection
+from ebonypick import events
+from ebonypick.process import _membership
+
+EXCHANGE_TIMEOUT_S = 0.8
+
+
+class GossipTask:
+    """Owns the membership; publishes its view on the board.
+
+    Parameters
+    ==========
+    node : EntryHost
+        The process.
+    membership : Membership
+        The state machine.
+    """
+
+    def __init__(self, node, membership):
+        self._node = node
+        self._membership = membership
+        self.exchanges = 0
+        self.bytes_sent = 0
+
+    @property
+    def speaks(self):
+        """Whether this host speaks for its data centre."""
+        return self._membership.is_speaker(time.monotonic())
+
+    def configure(self, centres):
+        """Take in the configured entry hosts by data centre."""
+        self._membership.configure(centres)
+        self._publish()
+
+    def leave(self):
+        """Tell the others that a planned stop began."""
+        self._membership.leaving = True
+        self._publish()
+
+    def fail(self, host):
+        """Note that a host could not be reached."""
+        self._membership.fail(host, time.monotonic())
+        self._publish()
+
+    def loads_of(self, service):
+        """Return what others told of a service's load."""
+        return self._membership.loads_of(service, time.monotonic())
+
+    def receive(self, data):
+        """Take in a peer's message; return the reply's bytes."""
+        message = msgspec.json.decode(data, type=_membership.Message)
+        self._take(message)
+        return self._encode(message.data_centre)
+
+    def _encode(self, to_centre):
+        message = self._membership.message(
+            to_centre,
+            self._node.board.number,
+            self._node.board.platform_now(),
+            time.monotonic(),
+        )
+        return msgspec.json.encode(message)
+
+    def _take(self, message):
+        self._membership.receive(message, time.monotonic())
+        self._node.hear_version(message.version, message.sender)
+        self._node.hear_platform_time(message.platform_s)
+        self._publish()
+
+    def _publish(self):
+        board = self._node.board
+        view = self._membership.view(time.monotonic())
+        old = board.view
+        if view == old:
+            return
+        board.publish(view=view)
+        self._log_changes(old, view)
+
+    def _log_changes(self, old, view):
+        before = _members(old) if old else set()
+        after = _members(view)
+        for name in sorted(before - after):
+            state = 'leaving' if name in view.leaving else 'absent'
+            events.MEMBER_CHANGED.log(member=name, state=state, why='gossip')
+        for name in sorted(after - before):
+            events.MEMBER_CHANGED.log(member=name, state='live', why='gossip')
+
+    async def run(self):
+        """Exchange messages until cancelled."""
+        while True:
+            await self.tick()
+            await asyncio.sleep(_membership.TICK_S)
+
+    async def tick(self):
+        """Make one round of exchanges."""
+        membership = self._membership
+        membership.loads = self._node.own_loads()
+        targets = membership.tick(time.monotonic())
+        if self._node.board.version is None:
+            targets = tuple(self._node.seeds)
+        for name in targets:
+            self._node.tasks.start(self._exchange(name))
+        self._publish()
+
+    async def announce(self):
+        """Exchange messages with every reachable host once."""
+        await asyncio.gather(
+            *(self._exchange(name) for name in list(self._node.peers))
+        )
+
+    async def _exchange(self, name):
+        peer = self._node.peers.get(name) or self._node.seeds.get(name)
+        if peer is None:
+            return
+        data = self._encode(self._node.centre_of(name))
+        self.exchanges += 1
+        self.bytes_sent += len(data)
+        try:
+            status, body = await peer.call_json(
+                'POST',
+                '/peer/v1/gossip',
+                data,
+                timeout_s=EXCHANGE_TIMEOUT_S,
+            )
+            if status == 200:
+                self._take(msgspec.json.decode(body, type=_membership.Message))
+        except (
+            connection.ConnectFailedError,
+            connection.LostError,
+            msgspec.MsgspecError,
+        ):
+            # Silence is judged by the age of records, not by one failure.
+            return
+
+
+def _members(view):
+    return {name for names in view.alive.values() for name in names}
--- /dev/null
+++ b/ebonypick/process/_intake.py
@@ -0,0 +1,153 @@
+"""Reads what a caller asks for out of its headers; checks its form."""
+
+import dataclasses
+import re
+import uuid
+
+from ebonypick import connection
+from ebonypick import errors
+from ebonypick import request
+
+TARGET_LIMIT_BYTES = 8_192
+DEADLINE_MOST_MS = 3_600_000
+KEY_LIMIT = 200
+_KEY = re.compile(r'^[\w.~:+=-]+$', re.ASCII)
+
+
+@dataclasses.dataclass(frozen=True)
+class Intake:
+    """A checked request.
+
+    Parameters
+    ==========
+    info : RequestInfo
+        What routing needs to know.
+    headers : list of (str, str)
+        The end-to-end headers.
+    avoid : frozenset of str
+        Backend servers that an earlier attempt used.
+    hop_region : str or None
+        The region of the entry host that passed it on.
+    """
+
+    info: request.RequestInfo
+    headers: list
+    avoid: frozenset = frozenset()
+    hop_region: str | None = None
+
+
+def parse_deadline_ms(text, default_ms):
+    """Return a deadline in milliseconds.
+
+    Examples
+    ========
+    >>> parse_deadline_ms('250', 1000), parse_deadline_ms(None, 1000)
+    (250, 1000)
+
+    Raises
+    ======
+    errors.BadDeadlineError
+        If the text is no whole number in range.
+    """
+    if text is None:
+        return default_ms
+    if not (text.isascii() and text.isdigit()):
+        raise errors.BadDeadlineError(
+            found=text[:40], limit_ms=DEADLINE_MOST_MS
+        )
+    value = int(text[:10])
+    if not 1 <= value <= DEADLINE_MOST_MS:
+        raise errors.BadDeadlineError(
+            found=text[:40], limit_ms=DEADLINE_MOST_MS
+        )
+    return value
+
+
+def parse_idempotency_key(text):
+    """Return an idempotency key without quotes, or None for None.
+
+    Raises
+    ======
+    errors.BadKeyError
+        If it is empty, too long or has characters that are not allowed.
+    """
+    if text is None:
+        return None
+    key = text.strip().strip('"')
+    if len(key) > KEY_LIMIT:
+        raise errors.BadKeyError(
+            found=key[:80], reason=f'it has more than {KEY_LIMIT} characters'
+        )
+    if not _KEY.match(key):
+        raise errors.BadKeyError(
+            found=key[:80], reason='it is empty or has other characters'
+        )
+    return key
+
+
+def check_request(req, services, passed, region, now):
+    """Check a caller's request against the configuration in force.
+
+    Parameters
+    ==========
+    req : CallerRequest
+        The request.
+    services : dict of str to Service
+        The services of the configuration.
+    passed : bool
+        Whether another entry host passed it on.
+    region : str
+        The region of this entry host.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    =======
+    Intake
+
+    Raises
+    ======
+    errors.RequestError
+        If the request is not valid.
+    """
+    headers = req.headers
+    name = headers.get(connection.headers.SERVICE)
+    service = services.get(name)
+    if service is None:
+        raise errors.UnknownServiceError(
+            service=name, known=', '.join(sorted(services))
+        )
+    if len(req.target) > TARGET_LIMIT_BYTES:
+        raise errors.HeadTooLargeError(
+            part='path', found=len(req.target), limit=TARGET_LIMIT_BYTES
+        )
+    length = req.content_length or 0
+    if length > service.body_limit_bytes:
+        raise errors.BodyTooLargeError(
+            found=length, service=name, limit=service.body_limit_bytes
+        )
+    deadline_ms = parse_deadline_ms(
+        headers.get(connection.headers.DEADLINE_MS), service.deadline_ms
+    )
+    key = parse_idempotency_key(
+        headers.get(connection.headers.IDEMPOTENCY_KEY)
+    )
+    hop_region = None
+    req_id = uuid.uuid4().hex
+    avoid = frozenset()
+    if passed:
+        hop_region = headers.get(connection.headers.HOP_REGION)
+        req_id = headers.get(connection.headers.REQUEST_ID) or req_id
+        names = headers.get(connection.headers.AVOID, '')
+        avoid = frozenset(n for n in names.split(',') if n)
+    info = request.RequestInfo(
+        req_id,
+        name,
+        req.method,
+        now + deadline_ms / 1000,
+        key,
+        passed,
+        hop_region is not None and hop_region != region,
+    )
+    rows = connection.headers.end_to_end(headers.items())
+    return Intake(info, rows, avoid, hop_region)
--- /dev/null
+++ b/ebonypick/process/_membership.py
@@ -0,0 +1,396 @@
+"""Who lives: full inside a data centre, digests between data centres.
+
+Hosts of a data centre exchange their records with a few others at a time.
+Two of them, chosen by rendezvous hashing, exchange digests with those of
+other data centres. A record is told apart by its author's incarnation and a
+beat that only the author raises, so records may come by any way, late and
+repeated, and the newest wins.
+"""
+
+import dataclasses
+
+import xxhash
+
+TICK_S = 0.5
+SUSPECT_S = 2.5
+CENTRE_SUSPECT_S = 3.0
+NEAR_FANOUT = 2
+FAR_FANOUT = 3
+SPEAKERS = 2
+RECORDS_MOST = 24
+# A host that could not be reached gets no work for so long.
+FAILED_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class HostRecord:
+    """What an entry host says of itself to its data centre.
+
+    Parameters
+    ==========
+    host : str
+        Its name.
+    incarnation : int
+        Grows with each start of its process.
+    beat : int
+        Grows with each tick.
+    leaving : bool
+        Whether it is in a planned stop.
+    loads : dict of str to tuple of int
+        By service: free slots, waiting requests, slots.
+    """
+
+    host: str
+    incarnation: int
+    beat: int
+    leaving: bool
+    loads: dict[str, tuple[int, int, int]]
+
+    @property
+    def order(self):
+        """Sorts records of one author by age."""
+        return (self.incarnation, self.beat)
+
+
+@dataclasses.dataclass(frozen=True)
+class CentreRecord:
+    """What a speaker says of its data centre to the others.
+
+    Parameters
+    ==========
+    data_centre, speaker : str
+        Which one, and the entry host that says so.
+    incarnation, beat : int
+        The speaker's.
+    absent, leaving : tuple of str
+        Its entry hosts that are not heard, or in a planned stop.
+    loads : dict of str to tuple of int
+        By service, summed: free slots, waiting requests, slots.
+    """
+
+    data_centre: str
+    speaker: str
+    incarnation: int
+    beat: int
+    absent: tuple[str, ...]
+    leaving: tuple[str, ...]
+    loads: dict[str, tuple[int, int, int]]
+
+    @property
+    def order(self):
+        """Sorts records of one author by age."""
+        return (self.incarnation, self.beat)
+
+
+@dataclasses.dataclass(frozen=True)
+class Message:
+    """What one entry host tells another at an exchange.
+
+    Parameters
+    ==========
+    sender : str
+        Who tells.
+    data_centre : str
+        Where it stands.
+    version : int
+        The configuration that it has in force.
+    platform_s : float or None
+        A lower bound of the platform's time, where it knows one.
+    hosts, centres : tuple
+        Records, newest first.
+    """
+
+    sender: str
+    data_centre: str
+    version: int
+    platform_s: float | None
+    hosts: tuple[HostRecord, ...]
+    centres: tuple[CentreRecord, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class View:
+    """Who lives, as one host sees it; the whole map of the moment.
+
+    Parameters
+    ==========
+    alive : dict of str to tuple of str
+        By data centre, the entry hosts that take work.
+    leaving : frozenset of str
+        Entry hosts in a planned stop.
+    """
+
+    alive: dict
+    leaving: frozenset
+
+
+@dataclasses.dataclass
+class _Heard:
+    record: object
+    at: float
+
+
+def rendezvous(key, names, count=1):
+    """Return the ``count`` names that rank highest for a key.
+
+    Examples
+    ========
+    >>> rendezvous('k', ['a', 'b', 'c'], 3) == rendezvous(
+    ...     'k', ['c', 'a', 'b'], 3)
+    True
+
+    References
+    ==========
+    .. [1] D. Thaler, C. Ravishankar, "Using name-based mappings to increase
+       hit rates", IEEE/ACM Transactions on Networking, 1998.
+    """
+
+    def rank(name):
+        return xxhash.xxh3_64_intdigest(f'{key}/{name}'.encode())
+
+    return tuple(sorted(names, key=rank, reverse=True)[:count])
+
+
+class Membership:
+    """What one entry host knows of the others; a pure state machine.
+
+    Parameters
+    ==========
+    host, data_centre : str
+        Who and where it is.
+    incarnation : int
+        Larger than at its earlier starts, if its clock allows.
+    rng : random.Random
+        Chooses whom to talk to.
+    """
+
+    def __init__(self, host, data_centre, incarnation, rng):
+        self.host = host
+        self.data_centre = data_centre
+        self.leaving = False
+        self.loads = {}
+        self._incarnation = incarnation
+        self._beat = 0
+        self._rng = rng
+        self._centres = {data_centre: (host,)}
+        self._hosts = {}
+        self._speakers = {}
+        self._failed = {}
+
+    def configure(self, centres):
+        """Set the entry hosts of each data centre.
+
+        Parameters
+        ==========
+        centres : dict of str to tuple of str
+            Names of all configured entry hosts.
+        """
+        self._centres = dict(centres)
+        siblings = self._centres.get(self.data_centre, ())
+        self._hosts = {
+            name: heard
+            for name, heard in self._hosts.items()
+            if name in siblings
+        }
+        self._speakers = {
+            key: heard
+            for key, heard in self._speakers.items()
+            if key[1] in self._centres.get(key[0], ())
+        }
+
+    def _siblings(self):
+        names = self._centres.get(self.data_centre, ())
+        return [name for name in names if name != self.host]
+
+    def _fresh(self, heard, name, limit_s, now):
+        if heard is None or now - heard.at > limit_s:
+            return False
+        return not self._failed_now(name, now)
+
+    def _failed_now(self, name, now):
+        return now < self._failed.get(name, now)
+
+    def _sibling_alive(self, name, now):
+        return self._fresh(self._hosts.get(name), name, SUSPECT_S, now)
+
+    def _alive_here(self, now):
+        names = [n for n in self._siblings() if self._sibling_alive(n, now)]
+        return sorted([*names, self.host])
+
+    def is_speaker(self, now):
+        """Return whether this host speaks for its data centre."""
+        alive = self._alive_here(now)
+        return self.host in rendezvous(self.data_centre, alive, SPEAKERS)
+
+    def tick(self, now):
+        """Raise the beat; return the hosts to exchange messages with."""
+        self._beat += 1
+        siblings = self._siblings()
+        count = min(NEAR_FANOUT, len(siblings))
+        chosen = self._rng.sample(siblings, count)
+        if not self.is_speaker(now):
+            return tuple(chosen)
+        centres = sorted(n for n in self._centres if n != self.data_centre)
+        count = min(FAR_FANOUT, len(centres))
+        for centre in self._rng.sample(centres, count):
+            chosen.append(self._contact(centre, now))
+        return tuple(name for name in chosen if name is not None)
+
+    def _contact(self, centre, now):
+        """Return a host of another data centre, a live one if known."""
+        names = self._centres[centre]
+        alive = self.view(now).alive.get(centre, ())
+        # Now and then any host is tried, so that a stale view mends.
+        if alive and self._rng.random() < 0.8:
+            names = alive
+        return self._rng.choice(names) if names else None
+
+    def _own_record(self):
+        return HostRecord(
+            self.host,
+            self._incarnation,
+            self._beat,
+            self.leaving,
+            dict(self.loads),
+        )
+
+    def _own_centre_record(self, now):
+        records = [self._own_record()]
+        absent = []
+        for name in self._siblings():
+            if self._sibling_alive(name, now):
+                records.append(self._hosts[name].record)
+            else:
+                absent.append(name)
+        loads = {}
+        for record in records:
+            for service, load in record.loads.items():
+                known = loads.get(service, (0, 0, 0))
+                loads[service] = tuple(a + b for a, b in zip(known, load))
+        return CentreRecord(
+            self.data_centre,
+            self.host,
+            self._incarnation,
+            self._beat,
+            tuple(absent),
+            tuple(r.host for r in records if r.leaving),
+            loads,
+        )
+
+    def message(self, to_centre, version, platform_s, now):
+        """Return what to tell a host of a data centre."""
+        hosts = ()
+        if to_centre == self.data_centre:
+            heard = sorted(
+                self._hosts.values(), key=lambda h: h.at, reverse=True
+            )
+            rows = [h.record for h in heard if now - h.at <= SUSPECT_S]
+            hosts = (self._own_record(), *rows[:RECORDS_MOST])
+        heard = sorted(
+            self._speakers.values(), key=lambda h: h.at, reverse=True
+        )
+        centres = [h.record for h in heard if now - h.at <= CENTRE_SUSPECT_S][
+            :RECORDS_MOST
+        ]
+        if self.is_speaker(now):
+            centres.insert(0, self._own_centre_record(now))
+        return Message(
+            self.host,
+            self.data_centre,
+            version,
+            platform_s,
+            hosts,
+            tuple(centres),
+        )
+
+    def receive(self, message, now):
+        """Take in what another host told."""
+        siblings = self._centres.get(self.data_centre, ())
+        for record in message.hosts:
+            if record.host == self.host:
+                self._refute(record)
+            elif record.host in siblings:
+                self._take(self._hosts, record.host, record, now)
+        for record in message.centres:
+            if record.data_centre == self.data_centre:
+                continue
+            if record.speaker in self._centres.get(record.data_centre, ()):
+                key = (record.data_centre, record.speaker)
+                self._take(self._speakers, key, record, now)
+
+    def _take(self, table, key, record, now):
+        known = table.get(key)
+        if known is None or record.order > known.record.order:
+            table[key] = _Heard(record, now)
+
+    def _refute(self, record):
+        """Outgrow records of an earlier start, if the clock went back."""
+        if record.incarnation > self._incarnation:
+            self._incarnation = record.incarnation + 1
+
+    def fail(self, host, now):
+        """Note that a host could not be reached."""
+        self._failed[host] = now + FAILED_S
+
+    def _newest(self, centre, now):
+        """Return the newest digest of a data centre, and its live speakers."""
+        fresh = [
+            heard
+            for (name, speaker), heard in self._speakers.items()
+            if name == centre
+            and self._fresh(heard, speaker, CENTRE_SUSPECT_S, now)
+        ]
+        if not fresh:
+            return None, ()
+        newest = max(fresh, key=lambda heard: heard.at)
+        return newest.record, {heard.record.speaker for heard in fresh}
+
+    def view(self, now):
+        """Return who lives now."""
+        alive = {}
+        leaving = {self.host} if self.leaving else set()
+        here = self._alive_here(now)
+        for name in here:
+            if name != self.host and self._hosts[name].record.leaving:
+                leaving.add(name)
+        alive[self.data_centre] = here
+        for centre, names in self._centres.items():
+            if centre == self.data_centre:
+                continue
+            record, speakers = self._newest(centre, now)
+            if record is None:
+                alive[centre] = []
+                continue
+            leaving.update(record.leaving)
+            absent = set(record.absent) - speakers
+            absent.update(n for n in names if self._failed_now(n, now))
+            alive[centre] = [n for n in names if n not in absent]
+        return View(
+            {
+                centre: tuple(sorted(n for n in names if n not in leaving))
+                for centre, names in alive.items()
+            },
+            frozenset(leaving),
+        )
+
+    def loads_of(self, service, now):
+        """Return the loads that others told of a service.
+
+        Returns
+        =======
+        hosts : dict of str to tuple
+            By entry host of the own data centre.
+        centres : dict of str to tuple
+            By other data centre.
+        """
+        hosts = {
+            name: heard.record.loads[service]
+            for name, heard in self._hosts.items()
+            if self._sibling_alive(name, now) and service in heard.record.loads
+        }
+        centres = {}
+        for centre in self._centres:
+            record, _ = self._newest(centre, now)
+            if record is not None and service in record.loads:
+                centres[centre] = record.loads[service]
+        return hosts, centres
--- /dev/null
+++ b/ebonypick/process/_metrics.py
@@ -0,0 +1,64 @@
+"""The metrics of an entry host, with bounded sets of labels."""
+
+import prometheus_client
+
+BUCKETS_S = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
+
+
+class Metrics:
+    """Counters and histograms of one process.
+
+    Labels are services, outcomes and regions, all of which come from the
+    configuration or from a fixed set.
+    """
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self.requests = prometheus_client.Counter(
+            'ebonypick_requests',
+            'Requests of callers, by how they ended.',
+            ['service', 'outcome'],
+            registry=self.registry,
+        )
+        self.seconds = prometheus_client.Histogram(
+            'ebonypick_request_seconds',
+            'Time of requests of callers.',
+            ['service'],
+            buckets=BUCKETS_S,
+            registry=self.registry,
+        )
+        self.attempts = prometheus_client.Counter(
+            'ebonypick_attempts',
+            'Attempts at backend servers and other owners.',
+            ['service', 'result'],
+            registry=self.registry,
+        )
+        self.hedges = prometheus_client.Counter(
+            'ebonypick_hedges',
+            'Reads that were sent a second time.',
+            ['service'],
+            registry=self.registry,
+        )
+        self.lookups = prometheus_client.Counter(
+            'ebonypick_lookups', 'Look-ups.', registry=self.registry
+        )
+        self.in_flight = prometheus_client.Gauge(
+            'ebonypick_requests_in_flight',
+            'Requests in flight.',
+            registry=self.registry,
+        )
+        self.config = prometheus_client.Gauge(
+            'ebonypick_config_version',
+            'Number of the configuration in force.',
+            registry=self.registry,
+        )
+        self.link_bytes = prometheus_client.Counter(
+            'ebonypick_link_bytes',
+            'Bytes sent to another region.',
+            ['region'],
+            registry=self.registry,
+        )
+
+    def render(self):
+        """Return the metrics in the text format of Prometheus."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/ebonypick/process/_ownership.py
@@ -0,0 +1,124 @@
+"""Which entry host owns which backend servers, and what follows from it."""
+
+import collections
+import itertools
+
+from ebonypick import request
+from ebonypick.process import _membership
+
+# Backend servers of a service and data centre that have one owner. Larger
+# pools share their slots better; smaller ones spread over more hosts.
+POOL_SIZE = 32
+
+
+def _pools(cfg, service):
+    """Return backend rows of a service, grouped by (data centre, shard)."""
+    pools = collections.defaultdict(list)
+    rows = cfg.backends(service)
+    for centre, group in itertools.groupby(rows, key=lambda row: row[1]):
+        for index, row in enumerate(group):
+            pools[centre, index // POOL_SIZE].append(row)
+    return pools
+
+
+def pool_owner(service, centre, shard, distances, alive):
+    """Return the entry host that owns a pool, or None.
+
+    Explanation
+    ===========
+    It is a live host of the pool's data centre, and where none lives there,
+    of the nearest data centre that has one.
+
+    Parameters
+    ==========
+    service, centre : str
+        The service and the data centre.
+    shard : int
+        Number of the pool there.
+    distances : tuple of str
+        Data centres by distance from ``centre``, itself first.
+    alive : dict of str to tuple of str
+        Entry hosts that take work, by data centre.
+    """
+    for name in distances:
+        hosts = alive.get(name, ())
+        if hosts:
+            key = f'{service}/{centre}/{shard}'
+            return _membership.rendezvous(key, hosts)[0]
+    return None
+
+
+def _slots(row):
+    _, _, service, server = row
+    return server.slots or service.slots
+
+
+def make_layout(cfg, view, host, service, leaving):
+    """Return what the dispatcher of a service at a host works on.
+
+    Parameters
+    ==========
+    cfg : Configuration
+        The configuration in force.
+    view : View
+        Who lives.
+    host : str
+        The entry host.
+    service : str
+        The service.
+    leaving : frozenset of str
+        Backend servers and hosts that the host list shows leaving.
+
+    Returns
+    =======
+    Layout
+    """
+    hosts = cfg.entry_hosts()
+    regions = cfg.data_centre_region()
+    own_centre = hosts[host][0]
+    drains = cfg.base.drains
+    gone = leaving | set(drains.backend_servers)
+    drained_centres = set(drains.data_centres)
+    alive = {
+        centre: tuple(n for n in names if n not in drains.entry_hosts)
+        for centre, names in view.alive.items()
+    }
+    capacity = collections.Counter()
+    own = {}
+    for (centre, shard), rows in _pools(cfg, service).items():
+        distances = cfg.by_distance(centre)
+        owner = pool_owner(service, centre, shard, distances, alive)
+        if owner is None:
+            continue
+        for row in rows:
+            drained = centre in drained_centres or row[0] in gone
+            if owner == host:
+                own[row[0]] = _slots(row)
+            if not drained:
+                capacity[owner] += _slots(row)
+            elif owner == host:
+                gone = gone | {row[0]}
+    places = []
+    for name, slots in sorted(capacity.items()):
+        centre = hosts[name][0]
+        region = regions[centre]
+        reserve = cfg.base.regions[region].reserve_share
+        places.append(
+            request.OwnerPlace(
+                name,
+                centre,
+                region,
+                cfg.delay_s(own_centre, centre),
+                slots,
+                reserve,
+            )
+        )
+    shifts = tuple(
+        (name, shift)
+        for name, shift in sorted(cfg.base.shifts.items())
+        if shift.service == service
+        and shift.from_region == regions[own_centre]
+    )
+    return request.Layout(
+        tuple(places), own, frozenset(gone) & frozenset(own), shifts
+    )
--- /dev/null
+++ b/ebonypick/process/_relay.py
@@ -0,0 +1,387 @@
+"""Serves one request of a caller, from its arrival to its answer."""
+
+import asyncio
+import time
+
+from ebonypick import connection
+from ebonypick import errors
+from ebonypick import events
+from ebonypick import request
+from ebonypick.process import _attempt
+from ebonypick.process import _body
+from ebonypick.process import _claims
+from ebonypick.process import _intake
+
+ATTEMPTS_MOST = 4
+ANSWER_STALL_S = 5.0
+# A read that waited longer while its second try was answered is taken as a
+# sign that its connection went silent.
+SILENT_S = 0.2
+
+
+class Relay:
+    """The life of one request at an entry host.
+
+    Parameters
+    ==========
+    node : EntryHost
+        The process's owner of connections.
+    req : CallerRequest
+        The request.
+    passed : bool
+        Whether another entry host passed it on.
+    """
+
+    def __init__(self, node, req, passed):
+        self._node = node
+        self._req = req
+        self._passed = passed
+        self._started_at = time.monotonic()
+        self._intake = None
+        self._body = None
+        self._attempts = 0
+        self._service = None
+        self._first_source = None
+        self._sent_at = None
+
+    async def run(self):
+        """Serve the request; every way ends in an answer or a break."""
+        try:
+            self._take_in()
+            await self._body.read_start()
+            answer = await self._serve_to_end()
+        except errors.EbonypickError as exc:
+            await self._refuse(exc)
+            return
+        try:
+            await self._pass_on(answer)
+        finally:
+            await answer.close()
+
+    def _take_in(self):
+        cfg = self._node.board.version.cfg
+        self._intake = _intake.check_request(
+            self._req,
+            cfg.base.services,
+            self._passed,
+            self._node.settings.region,
+            self._started_at,
+        )
+        name = self._intake.info.service
+        self._service = cfg.base.services[name]
+        self._body = _body.RequestBody(
+            self._req, self._service.body_limit_bytes, name
+        )
+
+    async def _serve_to_end(self):
+        """Serve the request, also if the caller goes away meanwhile.
+
+        A request with a key goes on without its caller, so that the next
+        try with the same key finds the answer. Any other one is cancelled,
+        and so is one whose body comes through the lost connection.
+        """
+        info = self._intake.info
+        if info.key is None or self._passed or not self._body.whole:
+            return await self._serve_once()
+        task = self._node.tasks.start(self._serve_once())
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            task.add_done_callback(self._node.close_answer)
+            raise
+
+    async def _serve_once(self):
+        """Serve a request, claiming its key first where it has one."""
+        info = self._intake.info
+        if info.key is None or info.passed:
+            return await self._serve()
+        claim = _claims.make_claim(
+            self._service.once, self._node, info.service, info.key
+        )
+        record = await claim.take()
+        if record is not None:
+            return _replay(record)
+        try:
+            answer = await self._serve()
+        except errors.EbonypickError as exc:
+            if exc.outcome == request.Outcome.NOT_RUN:
+                await claim.release()
+            raise
+        body = answer.start if answer.ended else None
+        record = _claims.make_record(answer.status, answer.headers, body)
+        await claim.finish(record)
+        return answer
+
+    async def _serve(self):
+        """Return an answer that is done.
+
+        Raises
+        ======
+        errors.EbonypickError
+            With the outcome that is known.
+        """
+        service = self._intake.info.service
+        self._node.budgets[service].deposit()
+        if self._intake.info.idempotent and not self._passed:
+            answer = await self._serve_hedged()
+        else:
+            answer = await self._serve_in_turn(False)
+        return answer
+
+    async def _serve_hedged(self):
+        """Serve a read; a second try runs beside one that takes long."""
+        service = self._intake.info.service
+        delay = self._node.hedge_delays[service]
+        first = asyncio.ensure_future(self._serve_in_turn(False))
+        running = {first}
+        try:
+            await self._wait_for_hedge(first, delay.seconds)
+            if not first.done() and self._may_hedge():
+                events.HEDGED.log(
+                    req=self._intake.info.req,
+                    service=service,
+                    waited_ms=round(delay.seconds * 1000),
+                )
+                self._node.metrics.hedges.labels(service).inc()
+                running.add(asyncio.ensure_future(self._serve_in_turn(True)))
+            answer = await _first_success(running)
+        finally:
+            for task in running:
+                self._node.drop_loser(task)
+        now = time.monotonic()
+        if not first.done() and now - self._sent_at > SILENT_S:
+            self._node.retire_silent(self._first_source)
+        delay.observe(now - self._sent_at)
+        return answer
+
+    async def _wait_for_hedge(self, first, delay_s):
+        """Wait until the first try is done, or was sent ``delay_s`` ago.
+
+        A try that still waits for a slot is not hedged: a second one would
+        only lengthen the queue.
+        """
+        while not first.done():
+            since = self._sent_at or time.monotonic()
+            left_s = since + delay_s - time.monotonic()
+            if left_s <= 0:
+                return
+            await asyncio.wait({first}, timeout=left_s)
+
+    def _may_hedge(self):
+        service = self._intake.info.service
+        return self._body.repeatable and self._node.budgets[service].take()
+
+    async def _serve_in_turn(self, hedge):
+        """Make attempts one after the other until one is done."""
+        tried = set()
+        avoid = set(self._intake.avoid)
+        if hedge and self._first_source is not None:
+            tried.add(self._first_source)
+            avoid.add(self._first_source)
+        fresh = hedge
+        retry_after_s = None
+        reason = 'no-backend'
+        for turn in range(ATTEMPTS_MOST):
+            self._attempts += 1
+            attempt = _attempt.Attempt(
+                self._node,
+                self._intake,
+                self._req.target,
+                self._body,
+                self._attempts,
+            )
+            first = turn == 0 and not hedge
+            decision = await attempt.route(
+                frozenset(tried), frozenset(avoid), first
+            )
+            if isinstance(decision, request.Refused):
+                if decision.reason != 'no-backend':
+                    reason = decision.reason
+                if retry_after_s is None:
+                    retry_after_s = decision.retry_after_s
+                break
+            if not hedge:
+                self._first_source = _source(decision)
+                self._sent_at = time.monotonic()
+            answer = await attempt.send(decision, fresh)
+            if answer.outcome is request.Outcome.DONE:
+                return answer
+            await answer.close()
+            tried.add(answer.source)
+            avoid.add(answer.source)
+            retry_after_s = answer.retry_after_s
+            reason = 'full' if retry_after_s else answer.reason
+            self._check_repeat(answer)
+            fresh = fresh or answer.outcome is request.Outcome.UNKNOWN
+        raise self._final_error(reason, retry_after_s)
+
+    def _check_repeat(self, answer):
+        """Raise the final error where no other attempt may follow.
+
+        Raises
+        ======
+        errors.EbonypickError
+            With the attempt's outcome.
+        """
+        info = self._intake.info
+        if answer.outcome is request.Outcome.UNKNOWN:
+            if info.idempotent:
+                self._node.retire_silent(answer.source)
+            late = info.deadline <= time.monotonic()
+            if late or not info.idempotent or not self._body.repeatable:
+                raise self._unknown_error(answer.reason, late)
+            if not self._node.budgets[info.service].take():
+                raise self._unknown_error(answer.reason, late)
+        elif not self._body.repeatable:
+            raise errors.NoCapacityError(service=info.service, retry_after_s=1)
+
+    def _unknown_error(self, reason, late):
+        if late:
+            return errors.AnswerTimeoutError(waited_ms=self._waited_ms())
+        return errors.UnknownOutcomeError(reason=reason)
+
+    def _waited_ms(self):
+        return round((time.monotonic() - self._started_at) * 1000)
+
+    def _final_error(self, reason, retry_after_s):
+        service = self._intake.info.service
+        if reason == 'deadline':
+            return errors.DeadlineError(waited_ms=self._waited_ms())
+        if reason == 'no-backend':
+            return errors.NoBackendError(service=service)
+        return errors.NoCapacityError(
+            service=service, retry_after_s=round(retry_after_s or 1, 1)
+        )
+
+    def _own_headers(self, outcome):
+        names = connection.headers
+        node = self._node
+        req = self._intake.info.req if self._intake else '-'
+        rows = [
+            (names.OUTCOME, str(outcome)),
+            (names.REQUEST_ID, req),
+            (names.CONFIG_VERSION, str(node.board.number)),
+        ]
+        if self._passed and self._intake:
+            load = node.services[self._intake.info.service].load
+            rows.append((names.LOAD, _attempt.format_load(load)))
+        else:
+            rows.append((names.KEY_PREFIX, node.key_prefix()))
+        if node.board.leaving:
+            rows.append((names.LEAVING, '1'))
+        return rows
+
+    async def _refuse(self, exc):
+        self._note(exc.outcome, exc.status)
+        body, headers = connection.problem(exc)
+        rows = self._own_headers(exc.outcome)
+        rows.append(
+            (
+                connection.headers.PROXY_STATUS,
+                f'{self._node.settings.host}; error=proxy_internal_response; '
+                f'details="{exc.code}"',
+            )
+        )
+        await self._req.respond(exc.status, headers + rows, body)
+
+    def _note(self, outcome, status):
+        service = self._intake.info.service if self._intake else 'none'
+        events.ANSWERED.log(
+            req=self._intake.info.req if self._intake else None,
+            service=service,
+            outcome=str(outcome),
+            status=status,
+        )
+        if not self._passed:
+            metrics = self._node.metrics
+            metrics.requests.labels(service, str(outcome)).inc()
+            waited_s = time.monotonic() - self._started_at
+            metrics.seconds.labels(service).observe(waited_s)
+
+    async def _pass_on(self, answer):
+        """Send the answer to the caller, whole or visibly broken."""
+        self._note(answer.outcome, answer.status)
+        rows = [
+            (name, value)
+            for name, value in answer.headers
+            if name.lower() not in ('content-length', 'proxy-status')
+        ]
+        rows += self._own_headers(answer.outcome)
+        rows.append(
+            (
+                connection.headers.PROXY_STATUS,
+                f'{self._node.settings.host}; received-status={answer.status}',
+            )
+        )
+        length = _content_length(answer)
+        if answer.ended:
+            if self._req.method != 'HEAD':
+                await self._req.respond(answer.status, rows, answer.start)
+            else:
+                await self._req.start(answer.status, rows, length)
+                await self._req.end()
+            return
+        await self._req.start(answer.status, rows, length)
+        await self._stream(answer)
+
+    async def _stream(self, answer):
+        await self._write(answer.start)
+        try:
+            while True:
+                async with asyncio.timeout(ANSWER_STALL_S):
+                    part = await answer.resp.content.readany()
+                if not part and answer.resp.content.at_eof():
+                    break
+                await self._write(part)
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            # The head is out: only a broken connection tells the caller
+            # that the answer is not whole.
+            self._req.abort()
+            return
+        await self._req.end()
+
+    async def _write(self, part):
+        if not part:
+            return
+        if self._intake.info.foreign:
+            await self._node.pace(self._intake.hop_region, len(part))
+        await self._req.write(part)
+
+
+def _source(decision):
+    if isinstance(decision, request.Placed):
+        return decision.backend
+    return decision.owner
+
+
+def _content_length(answer):
+    for name, value in answer.headers:
+        if name.lower() == 'content-length':
+            return int(value)
+    return None
+
+
+def _replay(record):
+    """Return the answer that a request with the same key got before."""
+    answer = _attempt.Answer(request.Outcome.DONE, 'record')
+    answer.status = record.status
+    answer.headers = [tuple(row) for row in record.headers]
+    answer.start = _claims.record_body(record)
+    return answer
+
+
+async def _first_success(tasks):
+    """Return the first result of some tasks; their last error if none."""
+    pending = set(tasks)
+    error = None
+    while pending:
+        done, pending = await asyncio.wait(
+            pending, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            if task.exception() is None:
+                return task.result()
+            error = task.exception()
+    raise error
--- /dev/null
+++ b/ebonypick/process/_service.py
@@ -0,0 +1,213 @@
+"""The task that owns a service's dispatcher and talks by messages."""
+
+import asyncio
+import dataclasses
+import time
+
+from ebonypick import events
+from ebonypick import request
+
+TICK_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrive:
+    """Route a request; the future gets Placed, Refused or Forward."""
+
+    arrival: request.Arrival
+    fut: asyncio.Future
+
+
+@dataclasses.dataclass(frozen=True)
+class Finish:
+    """A request gives its slot back."""
+
+    req: str
+    result: request.Result
+
+
+@dataclasses.dataclass(frozen=True)
+class ForwardEnded:
+    """Another owner answered; ``load`` is what it said it has left."""
+
+    req: str
+    owner: str
+    load: request.Load | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Cancel:
+    """A request is given up before it was sent."""
+
+    req: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Update:
+    """A new layout is in force."""
+
+    layout: request.Layout
+    settings: request.OwnerSettings
+
+
+@dataclasses.dataclass(frozen=True)
+class HearLoad:
+    """An owner's load was heard of."""
+
+    owner: str
+    load: request.Load
+
+
+@dataclasses.dataclass(frozen=True)
+class Probed:
+    """A backend server answered a probe, or did not (None)."""
+
+    backend: str
+    report: request.Report | None
+
+
+class ServiceTask:
+    """Owns the dispatcher of one service.
+
+    Parameters
+    ==========
+    service : str
+        The service.
+    dispatcher : Dispatcher
+        The decision core.
+    """
+
+    def __init__(self, service, dispatcher):
+        self.service = service
+        self.inbox = asyncio.Queue()
+        self.load = request.Load(0, 0, 0)
+        self.states = ()
+        self._dispatcher = dispatcher
+        self._waiting = {}
+        self._probe_failures = {}
+        self._handlers = {
+            Arrive: self._arrive,
+            Finish: self._finish,
+            ForwardEnded: self._forward_ended,
+            Cancel: self._cancel,
+            Update: self._update,
+            HearLoad: self._hear_load,
+            Probed: self._probed,
+        }
+
+    async def route(self, arrival):
+        """Return what the dispatcher decides, once it is final.
+
+        Returns
+        =======
+        Placed, Refused or Forward
+        """
+        fut = asyncio.get_running_loop().create_future()
+        self.inbox.put_nowait(Arrive(arrival, fut))
+        try:
+            return await fut
+        except asyncio.CancelledError:
+            self.inbox.put_nowait(Cancel(arrival.offer.req))
+            raise
+
+    def tell(self, message):
+        """Send a message that needs no answer."""
+        self.inbox.put_nowait(message)
+
+    async def run(self):
+        """Handle messages until cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(TICK_S):
+                    message = await self.inbox.get()
+            except TimeoutError:
+                message = None
+            now = time.monotonic()
+            if message is None:
+                self._resolve(self._dispatcher.tick(now))
+                self.states = self._dispatcher.owner.states(now)
+            else:
+                self._handlers[type(message)](message, now)
+            self.load = self._dispatcher.owner.load(now)
+
+    def _arrive(self, message, now):
+        arrival = message.arrival
+        if message.fut.cancelled():
+            return
+        decision = self._dispatcher.arrive(arrival, now)
+        if isinstance(decision, request.Queued):
+            self._waiting[arrival.offer.req] = message.fut
+            return
+        self._log(decision)
+        message.fut.set_result(decision)
+
+    def _log(self, decision):
+        if isinstance(decision, request.Placed):
+            events.PLACED.log(
+                req=decision.req,
+                service=self.service,
+                backend=decision.backend,
+                waited_ms=round(decision.waited_s * 1000, 3),
+            )
+        elif isinstance(decision, request.Forward):
+            events.ROUTED.log(
+                req=decision.req,
+                service=self.service,
+                owner=decision.owner,
+                reason=decision.reason,
+            )
+        else:
+            events.REFUSED.log(
+                req=decision.req,
+                service=self.service,
+                reason=decision.reason,
+                retry_after_s=round(decision.retry_after_s, 3),
+            )
+
+    def _resolve(self, decisions):
+        for decision in decisions:
+            fut = self._waiting.pop(decision.req, None)
+            if fut is None or fut.cancelled():
+                if isinstance(decision, request.Placed):
+                    self.tell(Finish(decision.req, request.Result.CANCELLED))
+                continue
+            self._log(decision)
+            fut.set_result(decision)
+
+    def _finish(self, message, now):
+        done = self._dispatcher.finish(message.req, message.result, now)
+        self._resolve(done)
+
+    def _forward_ended(self, message, now):
+        self._dispatcher.forward_ended(message.req, message.owner, now)
+        if message.load is not None:
+            self._dispatcher.hear_load(message.owner, message.load, now)
+
+    def _cancel(self, message, now):
+        self._waiting.pop(message.req, None)
+        if not self._dispatcher.cancel(message.req):
+            # It may have been placed while it was given up.
+            done = self._dispatcher.finish(
+                message.req, request.Result.CANCELLED, now
+            )
+            self._resolve(done)
+
+    def _update(self, message, now):
+        done = self._dispatcher.update(message.layout, now, message.settings)
+        self._resolve(done)
+
+    def _hear_load(self, message, now):
+        self._dispatcher.hear_load(message.owner, message.load, now)
+
+    def _probed(self, message, now):
+        owner = self._dispatcher.owner
+        if message.report is None:
+            # One lost probe says little; the second in a row counts.
+            failures = self._probe_failures.get(message.backend, 0) + 1
+            self._probe_failures[message.backend] = failures
+            if failures >= 2:
+                owner.suspend(message.backend, now)
+            return
+        self._probe_failures[message.backend] = 0
+        self._resolve(owner.recovered(message.backend, now))
+        self._resolve(owner.report(message.backend, message.report, now))
--- /dev/null
+++ b/ebonypick/process/_tasks.py
@@ -0,0 +1,56 @@
+"""Runs the tasks that an owner holds, and keeps them running."""
+
+import asyncio
+import contextlib
+
+from ebonypick import events
+
+RESTART_PAUSE_S = 0.2
+
+
+async def keep_running(name, work):
+    """Run a coroutine function again whenever it fails, and log why."""
+    while True:
+        try:
+            await work()
+        except asyncio.CancelledError:
+            raise
+        except Exception as exc:
+            events.TASK_FAILED.log(task=name, why=f'{exc!r}')
+        await asyncio.sleep(RESTART_PAUSE_S)
+
+
+async def every(interval_s, name, work):
+    """Run a coroutine function at an interval, and log its failures."""
+    while True:
+        try:
+            await work()
+        except asyncio.CancelledError:
+            raise
+        except Exception as exc:
+            events.TASK_FAILED.log(task=name, why=f'{exc!r}')
+        await asyncio.sleep(interval_s)
+
+
+class TaskGroup:
+    """Tasks that end with their owner; an async context manager."""
+
+    def __init__(self):
+        self._tasks = set()
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *exc_info):
+        for task in self._tasks:
+            task.cancel()
+        for task in list(self._tasks):
+            with contextlib.suppress(asyncio.CancelledError, Exception):
+                await task
+
+    def start(self, coro):
+        """Start a coroutine as a task of the group."""
+        task = asyncio.get_running_loop().create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
--- /dev/null
+++ b/ebonypick/request/__init__.py
@@ -0,0 +1,73 @@
+"""What lives for a request: its slot, route, budgets, key and outcome."""
+
+from ebonypick.request._budget import LinkBudget
+from ebonypick.request._budget import RetryBudget
+from ebonypick.request._budget import ShiftCredit
+from ebonypick.request._dispatcher import Arrival
+from ebonypick.request._dispatcher import Dispatcher
+from ebonypick.request._dispatcher import Forward
+from ebonypick.request._dispatcher import Layout
+from ebonypick.request._dispatcher import OwnerPlace
+from ebonypick.request._hedge import HedgeDelay
+from ebonypick.request._lookup import EntryHostChoice
+from ebonypick.request._lookup import look_up
+from ebonypick.request._once import Finished
+from ebonypick.request._once import Forgotten
+from ebonypick.request._once import Granted
+from ebonypick.request._once import OnceLedger
+from ebonypick.request._once import Record
+from ebonypick.request._once import Running
+from ebonypick.request._once import parse_key
+from ebonypick.request._outcome import IDEMPOTENT_METHODS
+from ebonypick.request._outcome import Outcome
+from ebonypick.request._outcome import RequestInfo
+from ebonypick.request._outcome import Result
+from ebonypick.request._outcome import may_send_again
+from ebonypick.request._owner import Load
+from ebonypick.request._owner import Offer
+from ebonypick.request._owner import OwnerSettings
+from ebonypick.request._owner import Placed
+from ebonypick.request._owner import Queued
+from ebonypick.request._owner import Refused
+from ebonypick.request._owner import Report
+from ebonypick.request._owner import SlotOwner
+from ebonypick.request._policy import Target
+from ebonypick.request._policy import make_policy
+from ebonypick.request._policy import policies
+
+__all__ = (
+    'Arrival',
+    'Dispatcher',
+    'EntryHostChoice',
+    'Finished',
+    'Forgotten',
+    'Forward',
+    'Granted',
+    'HedgeDelay',
+    'IDEMPOTENT_METHODS',
+    'Layout',
+    'LinkBudget',
+    'Load',
+    'Offer',
+    'OnceLedger',
+    'Outcome',
+    'OwnerPlace',
+    'OwnerSettings',
+    'Placed',
+    'Queued',
+    'Record',
+    'Refused',
+    'Report',
+    'RequestInfo',
+    'Result',
+    'RetryBudget',
+    'Running',
+    'ShiftCredit',
+    'SlotOwner',
+    'Target',
+    'look_up',
+    'make_policy',
+    'may_send_again',
+    'parse_key',
+    'policies',
+)
--- /dev/null
+++ b/ebonypick/request/_dispatcher.py
@@ -0,0 +1,289 @@
+"""Decides for each request of a service where it goes.
+
+The dispatcher joins the router, which chooses among owners, with the host's
+own slots. Events and the time go in, decisions come out.
+"""
+
+import collections
+import dataclasses
+
+from ebonypick.request import _budget
+from ebonypick.request import _owner
+from ebonypick.request import _policy
+
+# A load older than this says nothing; the target counts as just full.
+LOAD_KEPT_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True)
+class OwnerPlace:
+    """An owner of slots, as the configuration and the members give it.
+
+    Parameters
+    ==========
+    name : str
+        The entry host.
+    data_centre, region : str
+        Where it stands.
+    delay_s : float
+        One-way delay to it.
+    capacity : int
+        Configured slots that it owns.
+    reserve_share : float
+        Share of them that other regions may not use.
+    """
+
+    name: str
+    data_centre: str
+    region: str
+    delay_s: float
+    capacity: int
+    reserve_share: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Layout:
+    """What a dispatcher works on until the next version or member change.
+
+    Parameters
+    ==========
+    places : tuple of OwnerPlace
+        All owners of the service's slots.
+    backends : dict of str to int
+        The slots of the backend servers that this host owns.
+    leaving : frozenset of str
+        Backend servers that get no new work.
+    shifts : tuple of (str, Shift)
+        The service's shifts from this host's region, by name.
+    """
+
+    places: tuple
+    backends: dict
+    leaving: frozenset = frozenset()
+    shifts: tuple = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """A request that has to be routed.
+
+    Parameters
+    ==========
+    offer : Offer
+        What an owner needs to know.
+    tried : frozenset of str
+        Owners that refused it or failed.
+    first : bool
+        Whether this is its first attempt; only that one counts for shifts.
+    passed : bool
+        Whether another entry host routed it here.
+    moved_to : str or None
+        The region that a shift chose for it at an earlier attempt.
+    """
+
+    offer: _owner.Offer
+    tried: frozenset = frozenset()
+    first: bool = True
+    passed: bool = False
+    moved_to: str | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Forward:
+    """The request goes to another entry host.
+
+    Parameters
+    ==========
+    req : str
+        Its id.
+    owner : str
+        The entry host.
+    region : str
+        Its region.
+    reason : str
+        ``shift``, ``near``, ``far``.
+    """
+
+    req: str
+    owner: str
+    region: str
+    reason: str
+
+
+class Dispatcher:
+    """Routes the requests of one service at one entry host.
+
+    Parameters
+    ==========
+    host, region : str
+        Where it runs.
+    settings : OwnerSettings
+        For the host's own slots.
+    policy : object
+        Has ``choose(targets, service_s)``.
+    link_wait_s : callable
+        Gives the wait of the link to a region, from (region, now).
+    allowed_share : callable
+        Gives the share that a shift allows, from the shift.
+    """
+
+    def __init__(
+        self,
+        host,
+        region,
+        settings,
+        policy,
+        link_wait_s=lambda region, now: 0.0,
+        allowed_share=lambda shift: 0.0,
+    ):
+        self.host = host
+        self.region = region
+        self.owner = _owner.SlotOwner(settings)
+        self._policy = policy
+        self._link_wait_s = link_wait_s
+        self._allowed_share = allowed_share
+        self._layout = Layout((), {})
+        self._loads = {}
+        self._sent = collections.Counter()
+        self._forwards = {}
+        self._credits = {}
+
+    def update(self, layout, now, settings=None):
+        """Take in a new layout; return what it does to waiting requests."""
+        if settings is not None:
+            self.owner.settings = settings
+        names = {name for name, _ in layout.shifts}
+        self._credits = {
+            name: self._credits.get(name) or _budget.ShiftCredit()
+            for name in names
+        }
+        self._layout = layout
+        return self.owner.update(layout.backends, now, layout.leaving)
+
+    def hear_load(self, owner, load, now):
+        """Take in what another owner said it has left."""
+        self._loads[owner] = (load, now)
+        self._sent[owner] = 0
+
+    def arrive(self, arrival, now):
+        """Route a request.
+
+        Returns
+        =======
+        Placed, Queued, Refused or Forward
+        """
+        offer = arrival.offer
+        if arrival.passed:
+            return self.owner.offer(offer, now)
+        moved_to = arrival.moved_to
+        if arrival.first:
+            moved_to = self._shifted_to()
+        if moved_to is not None:
+            decision = self._choose(arrival, now, lambda p: p == moved_to)
+            if not isinstance(decision, _owner.Refused):
+                return self._as_shift(decision)
+        capped = {shift.to_region for _, shift in self._layout.shifts}
+        if not any(p.region == self.region for p in self._layout.places):
+            # Nothing is left at home: this is a failover, not the shift.
+            capped = set()
+        return self._choose(arrival, now, lambda r: r not in capped)
+
+    def _as_shift(self, decision):
+        if isinstance(decision, Forward):
+            return dataclasses.replace(decision, reason='shift')
+        return decision
+
+    def _shifted_to(self):
+        """Count a first attempt for all shifts; return where it is moved."""
+        moved_to = None
+        for name, shift in self._layout.shifts:
+            share = self._allowed_share(shift)
+            if self._credits[name].admit(share) and moved_to is None:
+                moved_to = shift.to_region
+        return moved_to
+
+    def _choose(self, arrival, now, region_allowed):
+        offer = arrival.offer
+        tried = set(arrival.tried)
+        refused = None
+        while True:
+            targets = [
+                target
+                for target in self._targets(now)
+                if target.name not in tried and region_allowed(target.region)
+            ]
+            if not targets:
+                return refused or self._refuse_all(offer, tried, now)
+            target = self._policy.choose(targets, self.owner.service_s)
+            if target.name != self.host:
+                return self._forward(offer, target)
+            decision = self.owner.offer(offer, now)
+            if not isinstance(decision, _owner.Refused):
+                return decision
+            refused = decision
+            tried.add(self.host)
+
+    def _refuse_all(self, offer, tried, now):
+        reason = 'full' if tried else 'no-backend'
+        load = self.owner.load(now)
+        wait_s = (load.queued + 1) * self.owner.service_s
+        wait_s /= max(1, load.capacity)
+        return _owner.Refused(offer.req, reason, max(wait_s, 0.2))
+
+    def _forward(self, offer, target):
+        self._sent[target.name] += 1
+        self._forwards[offer.req, target.name] = True
+        reason = 'far' if target.foreign else 'near'
+        return Forward(offer.req, target.name, target.region, reason)
+
+    def _targets(self, now):
+        return [self._target(place, now) for place in self._layout.places]
+
+    def _target(self, place, now):
+        foreign = place.region != self.region
+        if place.name == self.host:
+            load = self.owner.load(now)
+            return _policy.Target(
+                place.name,
+                place.region,
+                0.0,
+                load.free,
+                load.queued,
+                load.capacity,
+                foreign,
+            )
+        load, at = self._loads.get(place.name, (None, now))
+        sent = self._sent[place.name]
+        if load is None or now - at > LOAD_KEPT_S:
+            load = _owner.Load(place.capacity, 0, place.capacity)
+        free = load.free - sent
+        if foreign:
+            free -= place.reserve_share * load.capacity
+        link_wait_s = self._link_wait_s(place.region, now) if foreign else 0.0
+        return _policy.Target(
+            place.name,
+            place.region,
+            place.delay_s,
+            free,
+            load.queued,
+            load.capacity,
+            foreign,
+            link_wait_s,
+        )
+
+    def forward_ended(self, req, owner, now):
+        """Note that a request sent to another owner was answered."""
+        if self._forwards.pop((req, owner), None) and self._sent[owner] > 0:
+            self._sent[owner] -= 1
+
+    def finish(self, req, result, now):
+        """Take back a slot; return what waiting requests got."""
+        return self.owner.finish(req, result, now)
+
+    def cancel(self, req):
+        """Take a waiting request out of the queue."""
+        return self.owner.cancel(req)
+
+    def tick(self, now):
+        """Return what the time did to waiting requests."""
+        return self.owner.tick(now)
--- /dev/null
+++ b/ebonypick/request/_lookup.py
@@ -0,0 +1,77 @@
+"""Which entry hosts a caller should use."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class EntryHostChoice:
+    """An entry host in the answer to a look-up.
+
+    Parameters
+    ==========
+    name, address, port : str, str, int
+        The entry host.
+    weight : int
+        Its share of the callers among those of the same tier.
+    tier : int
+        0 for the nearest; a caller goes on to the next where none of a
+        tier answers.
+    """
+
+    name: str
+    address: str
+    port: int
+    weight: int
+    tier: int
+
+
+def look_up(cfg, view, region, places):
+    """Return the entry hosts for callers of a region, best first.
+
+    Explanation
+    ===========
+    Within a region, those that own slots of the service come first, with a
+    weight in proportion to them, as they serve without another hop. Those
+    that leave, are drained or are not heard never appear.
+
+    Parameters
+    ==========
+    cfg : Configuration
+        The configuration in force.
+    view : View
+        Who lives.
+    region : str
+        The callers' region.
+    places : tuple of OwnerPlace
+        The owners of the service's slots.
+
+    Returns
+    =======
+    list of EntryHostChoice
+    """
+    hosts = cfg.entry_hosts()
+    regions = cfg.data_centre_region()
+    drains = cfg.base.drains
+    capacity = {place.name: place.capacity for place in places}
+    first_centre = next(iter(cfg.base.regions[region].data_centres))
+    rows = []
+    for centre, names in view.alive.items():
+        if centre not in regions or centre in drains.data_centres:
+            continue
+        near = regions[centre] == region
+        distance = 0 if near else cfg.delay_s(first_centre, centre)
+        for name in names:
+            if name not in hosts or name in drains.entry_hosts:
+                continue
+            host = hosts[name][1]
+            owned = capacity.get(name, 0)
+            weight = host.weight * max(1, owned)
+            if weight:
+                rank = (distance, 0 if owned else 1)
+                rows.append((rank, name, host, weight))
+    rows.sort(key=lambda row: (row[0], -row[3], row[1]))
+    tiers = {rank: n for n, rank in enumerate(sorted({r[0] for r in rows}))}
+    return [
+        EntryHostChoice(name, host.address, host.port, weight, tiers[rank])
+        for rank, name, host, weight in rows
+    ]
--- /dev/null
+++ b/ebonypick/request/_once.py
@@ -0,0 +1,199 @@
+"""Remembers idempotency keys, so that a request runs at most once."""
+
+import collections
+import dataclasses
+import re
+
+EPOCH_S = 60
+EPOCHS_KEPT = 30
+KEY_LIMIT = 200
+_KEY = re.compile(r'^([\w.-]+)~(\w+)~(\d{1,9})~([\w.:-]+)$', re.ASCII)
+
+
+@dataclasses.dataclass(frozen=True)
+class Key:
+    """An idempotency key, taken apart.
+
+    Parameters
+    ==========
+    text : str
+        The whole key.
+    host : str
+        The entry host that issued its prefix.
+    boot : str
+        The start of that host's process.
+    epoch : int
+        Minutes from that start to the issue.
+    """
+
+    text: str
+    host: str
+    boot: str
+    epoch: int
+
+
+def parse_key(text):
+    """Return the parts of a key that an entry host issued, or None.
+
+    Examples
+    ========
+    >>> parse_key('entry-1~a1b2~3~mine').epoch
+    3
+    >>> parse_key('mine') is None
+    True
+    """
+    if len(text) > KEY_LIMIT:
+        return None
+    found = _KEY.match(text)
+    if found is None:
+        return None
+    return Key(text, found[1], found[2], int(found[3]))
+
+
+@dataclasses.dataclass(frozen=True)
+class Record:
+    """The answer of a request that ran.
+
+    Parameters
+    ==========
+    status : int
+        HTTP status.
+    headers : tuple of (str, str)
+        The headers to send again.
+    body : str or None
+        Base64 of the body; None where it was too large to keep.
+    """
+
+    status: int
+    headers: tuple
+    body: str | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Granted:
+    """The holder may run the request; nobody else will."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Running:
+    """Another holder runs it, or did and was lost."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Finished:
+    """It ran; this is its answer."""
+
+    record: Record
+
+
+@dataclasses.dataclass(frozen=True)
+class Forgotten:
+    """What became of the key cannot be known any more."""
+
+    reason: str
+
+
+@dataclasses.dataclass
+class _Entry:
+    holder: str
+    record: Record | None = None
+
+
+class OnceLedger:
+    """The keys of one entry host, kept in its memory.
+
+    Explanation
+    ===========
+    A claim is never taken back by time, only released by its holder, so a
+    holder that was paused cannot run a request that someone else was let
+    run meanwhile. Keys carry the age of their prefix; one that is older
+    than the memory reaches is refused, as it may have run before.
+
+    Examples
+    ========
+    >>> ledger = OnceLedger('entry-1', 'b00t', started=0.0)
+    >>> key = parse_key(ledger.prefix(0.0) + 'x')
+    >>> ledger.claim(key, 'holder-1', 0.0)
+    Granted()
+    >>> ledger.claim(key, 'holder-2', 0.0)
+    Running()
+
+    Parameters
+    ==========
+    host : str
+        The entry host's name.
+    boot : str
+        Unique for each start of the process.
+    started : float
+        The monotonic time of the start in seconds.
+    """
+
+    def __init__(self, host, boot, started):
+        self._host = host
+        self._boot = boot
+        self._started = started
+        self._epochs = collections.OrderedDict()
+
+    def __len__(self):
+        return sum(len(keys) for keys in self._epochs.values())
+
+    def _epoch(self, now):
+        return int((now - self._started) // EPOCH_S)
+
+    def prefix(self, now):
+        """Return the prefix of keys issued now."""
+        return f'{self._host}~{self._boot}~{self._epoch(now)}~'
+
+    def _forget_old(self, now):
+        oldest = self._epoch(now) - EPOCHS_KEPT
+        for epoch in [e for e in self._epochs if e < oldest]:
+            del self._epochs[epoch]
+
+    def claim(self, key, holder, now):
+        """Ask to run the request of a key.
+
+        Parameters
+        ==========
+        key : Key
+            The key.
+        holder : str
+            Unique for each attempt; the same holder may ask again.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        =======
+        Granted, Running, Finished or Forgotten
+        """
+        if key.host != self._host or key.boot != self._boot:
+            return Forgotten('its entry host was restarted')
+        self._forget_old(now)
+        current = self._epoch(now)
+        if key.epoch < current - EPOCHS_KEPT or key.epoch > current:
+            return Forgotten('its prefix is too old')
+        entries = self._epochs.setdefault(key.epoch, {})
+        entry = entries.get(key.text)
+        if entry is None:
+            entries[key.text] = _Entry(holder)
+            return Granted()
+        if entry.record is not None:
+            return Finished(entry.record)
+        return Granted() if entry.holder == holder else Running()
+
+    def _own_entry(self, key, holder):
+        entry = self._epochs.get(key.epoch, {}).get(key.text)
+        if entry is None or entry.holder != holder:
+            return None
+        return entry
+
+    def finish(self, key, holder, record):
+        """Keep the answer of a request that ran."""
+        entry = self._own_entry(key, holder)
+        if entry is not None:
+            entry.record = record
+
+    def release(self, key, holder):
+        """Give a claim back; the request was certainly not run."""
+        entry = self._own_entry(key, holder)
+        if entry is not None and entry.record is None:
+            del self._epochs[key.epoch][key.text]
--- /dev/null
+++ b/ebonypick/request/_owner.py
@@ -0,0 +1,421 @@
+"""Owns the slots of backend servers and decides who gets one."""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import math
+
+from ebonypick.request import _outcome
+
+FIRST_SUSPENSION_S = 0.5
+LONGEST_SUSPENSION_S = 8.0
+SERVICE_TIME_SMOOTHING = 0.05
+SHED_FACTOR = 0.7
+COLD_SHARE = 0.34
+RETRY_AFTER_LEAST_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class OwnerSettings:
+    """How an owner treats the slots of a service.
+
+    Parameters
+    ==========
+    queue_wait_s : float
+        Longest expected wait for a slot.
+    service_s : float
+        Usual time of a request on a slot, until it has been measured.
+    warm_s : float
+        Time in which a cold backend server gets all its slots.
+    reserve_share : float
+        Share of the slots that requests of other regions may not use.
+    """
+
+    queue_wait_s: float = 2.0
+    service_s: float = 0.01
+    warm_s: float = 10.0
+    reserve_share: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Offer:
+    """A request that asks for a slot.
+
+    Parameters
+    ==========
+    req : str
+        Its id.
+    deadline : float
+        On the clock of ``now``, in seconds.
+    foreign : bool
+        Whether it comes from another region.
+    avoid : frozenset of str
+        Backend servers that it gets only where no other is free.
+    """
+
+    req: str
+    deadline: float
+    foreign: bool = False
+    avoid: frozenset = frozenset()
+
+
+@dataclasses.dataclass(frozen=True)
+class Placed:
+    """The request has a slot of a backend server."""
+
+    req: str
+    backend: str
+    waited_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Queued:
+    """The request waits for a slot."""
+
+    req: str
+    wait_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """The request gets no slot here; nothing was run."""
+
+    req: str
+    reason: str
+    retry_after_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """What an owner has left, as told to other entry hosts."""
+
+    free: int
+    queued: int
+    capacity: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """What a backend server says of itself; it may lag or mislead."""
+
+    busy: int
+    slots: int
+    leaving: bool = False
+    cold: bool = False
+
+
+class _Slots:
+    """The slots of one backend server."""
+
+    def __init__(self, name, slots, now):
+        self.name = name
+        self.slots = slots
+        self.limit = float(slots)
+        self.held = set()
+        self.owned = True
+        self.leaving = False
+        self.warm_from = -math.inf
+        self.suspended_until = -math.inf
+        self.failures = 0
+
+    def usable(self, now):
+        return self.owned and not self.leaving and now >= self.suspended_until
+
+    def capacity(self, now, warm_s):
+        if not self.usable(now):
+            return 0
+        if self.failures:
+            # After a failure one request at a time tries the server.
+            return 1
+        limit = min(self.limit, float(self.slots))
+        age = now - self.warm_from
+        if warm_s > 0 and age < warm_s:
+            limit *= COLD_SHARE + (1 - COLD_SHARE) * age / warm_s
+        return max(1, int(limit + 1e-9))
+
+    def succeed(self):
+        self.failures = 0
+        self.limit = min(self.slots, self.limit + 1 / max(1, self.limit))
+
+    def shed(self):
+        self.limit = max(1.0, self.limit * SHED_FACTOR)
+
+    def fail(self, now):
+        self.failures += 1
+        pause_s = FIRST_SUSPENSION_S * 2 ** (self.failures - 1)
+        self.suspended_until = now + min(pause_s, LONGEST_SUSPENSION_S)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Waiting:
+    offer: Offer
+    since: float
+
+
+class SlotOwner:
+    """The owner of the slots of a service's backend servers.
+
+    Explanation
+    ===========
+    It counts exactly what it has handed out, so that no slot is given
+    twice, and keeps one queue for all its backend servers, ordered by
+    deadline. Nothing here reads a clock or a socket.
+
+    Examples
+    ========
+    >>> owner = SlotOwner(OwnerSettings())
+    >>> owner.update({'b1': 1}, now=0.0)
+    ()
+    >>> owner.offer(Offer('r1', deadline=1.0), now=0.0)
+    Placed(req='r1', backend='b1', waited_s=0.0)
+    >>> owner.offer(Offer('r2', deadline=1.0), now=0.0)
+    Queued(req='r2', wait_s=0.01)
+    >>> owner.finish('r1', _outcome.Result.DONE, now=0.5)
+    (Placed(req='r2', backend='b1', waited_s=0.5),)
+
+    Parameters
+    ==========
+    settings : OwnerSettings
+        How the slots are treated.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.service_s = settings.service_s
+        self._servers = {}
+        self._held = {}
+        self._queue = []
+        self._waiting = {}
+        self._order = itertools.count()
+        self._turn = itertools.count()
+
+    def update(self, backends, now, leaving=frozenset()):
+        """Set which backend servers are owned.
+
+        Parameters
+        ==========
+        backends : dict of str to int
+            Slots by backend server.
+        now : float
+            Seconds.
+        leaving : frozenset of str
+            Those that get no new work.
+
+        Returns
+        =======
+        tuple of Placed
+            Waiting requests that got a slot.
+        """
+        for name, slots in backends.items():
+            server = self._servers.get(name)
+            if server is None:
+                self._servers[name] = _Slots(name, slots, now)
+            elif server.slots != slots:
+                server.slots = slots
+                server.limit = min(server.limit, float(slots))
+        for name, server in list(self._servers.items()):
+            server.owned = name in backends
+            server.leaving = name in leaving
+            if not server.owned and not server.held:
+                del self._servers[name]
+        return self._pull(now)
+
+    def _capacity(self, server, now):
+        return server.capacity(now, self.settings.warm_s)
+
+    def _free(self, server, now):
+        return self._capacity(server, now) - len(server.held)
+
+    def load(self, now):
+        """Return what is left."""
+        capacity = free = 0
+        for server in self._servers.values():
+            room = self._capacity(server, now)
+            capacity += room
+            free += max(0, room - len(server.held))
+        return Load(free, len(self._waiting), capacity)
+
+    def _best(self, now, avoid):
+        best = None
+        best_score = (math.inf,)
+        turn = next(self._turn)
+        count = max(1, len(self._servers))
+        for index, server in enumerate(self._servers.values()):
+            room = self._capacity(server, now)
+            if len(server.held) >= room:
+                continue
+            score = (
+                server.name in avoid,
+                len(server.held) / room,
+                (index - turn) % count,
+            )
+            if score < best_score:
+                best, best_score = server, score
+        return best
+
+    def _place(self, server, offer, waited_s, now):
+        server.held.add(offer.req)
+        self._held[offer.req] = (server, now)
+        return Placed(offer.req, server.name, waited_s)
+
+    def offer(self, offer, now):
+        """Give a request a slot, a place in the queue, or a refusal.
+
+        Returns
+        =======
+        Placed, Queued or Refused
+        """
+        load = self.load(now)
+        if load.capacity == 0:
+            return Refused(offer.req, 'no-backend', 1.0)
+        if offer.foreign:
+            kept = math.ceil(self.settings.reserve_share * load.capacity)
+            if load.free - load.queued <= kept:
+                return Refused(offer.req, 'reserve', self._wait_s(load))
+        server = self._best(now, offer.avoid) if load.free else None
+        if server is not None and not self._waiting:
+            return self._place(server, offer, 0.0, now)
+        wait_s = self._wait_s(load)
+        latest = min(offer.deadline - now, self.settings.queue_wait_s)
+        if offer.foreign or wait_s > latest:
+            reason = 'full' if offer.deadline > now else 'deadline'
+            retry_after_s = max(RETRY_AFTER_LEAST_S, wait_s)
+            return Refused(offer.req, reason, retry_after_s)
+        waiting = _Waiting(offer, now)
+        self._waiting[offer.req] = waiting
+        item = (offer.deadline, next(self._order), offer.req)
+        heapq.heappush(self._queue, item)
+        return Queued(offer.req, wait_s)
+
+    def _wait_s(self, load):
+        return (load.queued + 1) * self.service_s / max(1, load.capacity)
+
+    def finish(self, req, result, now):
+        """Take back the slot of a request.
+
+        Parameters
+        ==========
+        req : str
+            Its id.
+        result : Result
+            How the attempt ended.
+        now : float
+            Seconds.
+
+        Returns
+        =======
+        tuple of Placed or Refused
+            What became of waiting requests.
+        """
+        held = self._held.pop(req, None)
+        if held is None:
+            return ()
+        server, since = held
+        server.held.discard(req)
+        if result is _outcome.Result.DONE:
+            gain = SERVICE_TIME_SMOOTHING * (now - since - self.service_s)
+            self.service_s += gain
+            server.succeed()
+        elif result is _outcome.Result.SHED:
+            server.shed()
+        elif result is _outcome.Result.CONNECT_FAILED:
+            server.fail(now)
+        if not server.owned and not server.held:
+            self._servers.pop(server.name, None)
+        return self._pull(now)
+
+    def cancel(self, req):
+        """Take a waiting request out of the queue; return whether it was."""
+        return self._waiting.pop(req, None) is not None
+
+    def report(self, backend, report, now):
+        """Take in what a backend server says of itself.
+
+        Only what is against new work counts at once: that it leaves, or
+        that it is cold. Its load is not used for placing, as it lags.
+        """
+        server = self._servers.get(backend)
+        if server is None:
+            return ()
+        if report.leaving:
+            server.leaving = True
+        if report.cold and now - server.warm_from >= self.settings.warm_s:
+            server.warm_from = now
+        return self._pull(now)
+
+    def recovered(self, backend, now):
+        """End a suspension, as a probe was answered."""
+        server = self._servers.get(backend)
+        if server is None or not server.failures:
+            return ()
+        server.failures = 0
+        server.suspended_until = now
+        server.warm_from = now
+        return self._pull(now)
+
+    def suspend(self, backend, now):
+        """Give a backend server no new work, as a probe failed."""
+        server = self._servers.get(backend)
+        if server is not None:
+            server.fail(now)
+
+    def states(self, now):
+        """Return (name, held, capacity, leaving) of each backend server."""
+        return tuple(
+            (s.name, len(s.held), self._capacity(s, now), s.leaving)
+            for s in self._servers.values()
+            if s.owned
+        )
+
+    def tick(self, now):
+        """Refuse waiting requests that cannot be served any more."""
+        done = self._pull(now)
+        load = self.load(now)
+        late = [
+            waiting
+            for waiting in self._waiting.values()
+            if waiting.offer.deadline <= now
+            or load.capacity == 0
+            or now - waiting.since > self.settings.queue_wait_s
+        ]
+        for waiting in late:
+            del self._waiting[waiting.offer.req]
+        wait_s = max(RETRY_AFTER_LEAST_S, self._wait_s(load))
+        refused = tuple(
+            Refused(
+                waiting.offer.req,
+                'deadline' if waiting.offer.deadline <= now else 'full',
+                wait_s,
+            )
+            for waiting in late
+        )
+        return done + refused
+
+    def _pull(self, now):
+        """Give free slots to waiting requests, earliest deadline first."""
+        decisions = []
+        while self._queue:
+            req = self._queue[0][2]
+            waiting = self._waiting.get(req)
+            if waiting is None:
+                heapq.heappop(self._queue)
+                continue
+            server = self._best(now, waiting.offer.avoid)
+            if server is None:
+                break
+            heapq.heappop(self._queue)
+            del self._waiting[req]
+            if waiting.offer.deadline <= now:
+                decisions.append(Refused(req, 'deadline', RETRY_AFTER_LEAST_S))
+                continue
+            waited_s = now - waiting.since
+            decisions.append(self._place(server, waiting.offer, waited_s, now))
+        return tuple(decisions)
+
+    def held_by_backend(self):
+        """Return the number of slots given out, by backend server."""
+        counts = collections.Counter()
+        for server, _ in self._held.values():
+            counts[server.name] += 1
+        return counts
--- /dev/null
+++ b/ebonypick/request/_policy.py
@@ -0,0 +1,173 @@
+"""Policies that choose among targets, in a registry.
+
+A target is an owner of slots, or, for the baselines, a backend server that
+is seen only by its lagging report.
+"""
+
+import dataclasses
+
+from ebonypick import registry
+
+policies = registry.Registry('policy')
+
+
+@dataclasses.dataclass(frozen=True)
+class Target:
+    """Where a request may go.
+
+    Parameters
+    ==========
+    name : str
+        The entry host that owns the slots.
+    region : str
+        Its region.
+    delay_s : float
+        One-way delay to it.
+    free : float
+        Slots that seem free there, less what was sent since.
+    queued : float
+        Requests that seem to wait there.
+    capacity : float
+        Slots that it has.
+    foreign : bool
+        Whether it stands in another region.
+    link_wait_s : float
+        How long bytes to it wait for their share of the link.
+    """
+
+    name: str
+    region: str
+    delay_s: float
+    free: float
+    queued: float
+    capacity: float
+    foreign: bool = False
+    link_wait_s: float = 0.0
+
+
+def expected_s(target, service_s):
+    """Return the expected time until a slot there starts the request.
+
+    Examples
+    ========
+    >>> target = Target('e', 'r', 0.001, free=0, queued=3, capacity=4)
+    >>> round(expected_s(target, 0.01), 4)
+    0.012
+    """
+    wait_s = 0.0
+    if target.free < 1:
+        ahead = target.queued + 1 - min(0, target.free)
+        wait_s = ahead * service_s / max(1, target.capacity)
+    return 2 * target.delay_s + wait_s + target.link_wait_s
+
+
+@policies.register('latency')
+class LatencyPolicy:
+    """Chooses the target with the least expected time to a slot.
+
+    Parameters
+    ==========
+    rng : random.Random
+        Breaks ties, so that hosts do not all choose the same.
+    """
+
+    def __init__(self, rng):
+        self._rng = rng
+
+    def choose(self, targets, service_s):
+        """Return one of the targets."""
+
+        def cost(target):
+            share = target.free / max(1, target.capacity)
+            tie = -share + 0.1 * self._rng.random()
+            return (expected_s(target, service_s), tie)
+
+        return min(targets, key=cost)
+
+
+@policies.register('headroom')
+class HeadroomPolicy:
+    """Chooses the target with the largest free share, near ones first.
+
+    Links between regions are used only where the own region has no slot
+    free and its queue costs more than the way.
+    """
+
+    def __init__(self, rng):
+        self._rng = rng
+
+    def choose(self, targets, service_s):
+        """Return one of the targets."""
+
+        def cost(target):
+            used = target.capacity - target.free + target.queued
+            share = used / max(1, target.capacity)
+            full = target.free < 1
+            wait_s = expected_s(target, service_s) if full else 0.0
+            return (
+                target.foreign and not full,
+                wait_s,
+                share + 0.05 * self._rng.random(),
+            )
+
+        near = [t for t in targets if not t.foreign]
+        if near and any(t.free >= 1 for t in near):
+            return min(near, key=cost)
+        return min(targets, key=lambda t: expected_s(t, service_s))
+
+
+@policies.register('random')
+class RandomPolicy:
+    """Baseline: any target with equal chance."""
+
+    def __init__(self, rng):
+        self._rng = rng
+
+    def choose(self, targets, service_s):
+        """Return one of the targets."""
+        return self._rng.choice(targets)
+
+
+@policies.register('round-robin')
+class RoundRobinPolicy:
+    """Baseline: one target after the other."""
+
+    def __init__(self, rng):
+        self._next = rng.randrange(1000)
+
+    def choose(self, targets, service_s):
+        """Return one of the targets."""
+        self._next += 1
+        return targets[self._next % len(targets)]
+
+
+@policies.register('two-choices')
+class TwoChoicesPolicy:
+    """Baseline: the better of two at random, by the reports as they are."""
+
+    def __init__(self, rng):
+        self._rng = rng
+
+    def choose(self, targets, service_s):
+        """Return one of the targets."""
+        one = self._rng.choice(targets)
+        other = self._rng.choice(targets)
+        return max(one, other, key=lambda t: t.free - t.queued)
+
+
+@policies.register('fixed-shares')
+class FixedSharesPolicy:
+    """Baseline: chance in proportion to capacity."""
+
+    def __init__(self, rng):
+        self._rng = rng
+
+    def choose(self, targets, service_s):
+        """Return one of the targets."""
+        weights = [max(1, target.capacity) for target in targets]
+        return self._rng.choices(targets, weights)[0]
+
+
+def make_policy(name, rng):
+    """Return the policy that is registered under ``name``."""
+    return policies.get(name)(rng)
--- /dev/null
+++ b/ebonypick/version/_check.py
@@ -0,0 +1,263 @@
+"""Builds a configuration from its files and checks it as a whole."""
+
+import collections
+import dataclasses
+import datetime
+import ipaddress
+import itertools
+
+from ebonypick import errors
+from ebonypick.version import _convert
+from ebonypick.version import _merge
+from ebonypick.version import _model
+from ebonypick.version import _parse
+
+
+@dataclasses.dataclass(frozen=True)
+class Bundle:
+    """The texts of the files of a configuration.
+
+    Parameters
+    ==========
+    base : str
+        The text of the base file.
+    overlays : dict of str to str
+        The text of each site's overlay, by the site's name.
+    """
+
+    base: str
+    overlays: dict
+
+
+def parse_time(text):
+    """Return seconds since the epoch of an ISO 8601 time in UTC.
+
+    Examples
+    ========
+    >>> parse_time('1970-01-01T00:01:00Z')
+    60.0
+
+    Raises
+    ======
+    ValueError
+        If the text is no time or names no zone.
+    """
+    value = datetime.datetime.fromisoformat(text)
+    if value.tzinfo is None:
+        raise ValueError('the time zone is missing; end it with Z')
+    return value.timestamp()
+
+
+class _Checker:
+    """Checks that the parts of a configuration fit together."""
+
+    def __init__(self, source, cfg):
+        self.source = source
+        self.cfg = cfg
+        self.base = cfg.base
+        self.problems = []
+
+    def note(self, path, text):
+        dotted = '.'.join(str(key) for key in path)
+        place = str(self.source.place(path))
+        self.problems.append(_convert.Problem(place, dotted, text))
+
+    def known(self, path, name, names, what):
+        if name in names:
+            return True
+        hint = _convert.nearest_hint(name, names)
+        self.note(path, f'there is no {what} {name!r}{hint}')
+        return False
+
+    def check(self):
+        self._check_places()
+        self._check_links()
+        self._check_shifts()
+        self._check_drains()
+        self._check_blocks()
+        self._check_addresses()
+        return tuple(self.problems)
+
+    def _check_places(self):
+        centres = self.cfg.data_centre_region()
+        listed = [
+            n for r in self.base.regions.values() for n in r.data_centres
+        ]
+        for name, count in collections.Counter(listed).items():
+            if count > 1:
+                self.note(('regions',), f'data centre {name!r} stands twice')
+        for region, item in self.base.regions.items():
+            for name, centre in item.data_centres.items():
+                path = ('regions', region, 'data_centres', name)
+                if not centre.entry_hosts:
+                    self.note(path, 'the data centre has no entry hosts')
+                elif not any(h.weight for h in centre.entry_hosts.values()):
+                    self.note(path, 'all weights are zero')
+        for name, site in self.base.sites.items():
+            path = ('sites', name, 'data_centre')
+            self.known(path, site.data_centre, centres, 'data centre')
+
+    def _check_links(self):
+        pairs = set()
+        for index, link in enumerate(self.base.links):
+            for end in link.between:
+                path = ('links', index, 'between')
+                self.known(path, end, self.base.regions, 'region')
+            pairs.add(frozenset(link.between))
+        for pair in itertools.combinations(sorted(self.base.regions), 2):
+            if frozenset(pair) not in pairs:
+                text = f'no link with a limit between {pair[0]} and {pair[1]}'
+                self.note(('links',), text)
+
+    def _check_shifts(self):
+        sums = collections.Counter()
+        for name, shift in self.base.shifts.items():
+            path = ('shifts', name)
+            self.known(
+                path + ('service',),
+                shift.service,
+                self.base.services,
+                'service',
+            )
+            for end in ('from_region', 'to_region'):
+                region = getattr(shift, end)
+                self.known(path + (end,), region, self.base.regions, 'region')
+            if shift.from_region == shift.to_region:
+                self.note(path, 'from_region and to_region are the same')
+            try:
+                parse_time(shift.start)
+            except ValueError as exc:
+                self.note(path + ('start',), str(exc))
+            sums[shift.service, shift.from_region] += shift.cap_share
+        for (service, region), total in sums.items():
+            if total > 1.0 + 1e-9:
+                text = f'caps of {service!r} from {region!r} sum past 1'
+                self.note(('shifts',), text)
+
+    def _check_drains(self):
+        backends = {
+            name
+            for services in self.cfg.sites.values()
+            for service in services.values()
+            for name in service.backend_servers
+        }
+        known = {
+            'backend_servers': backends,
+            'entry_hosts': self.cfg.entry_hosts(),
+            'data_centres': self.cfg.data_centre_region(),
+        }
+        for kind, names in known.items():
+            for index, name in enumerate(getattr(self.base.drains, kind)):
+                path = ('drains', kind, index)
+                self.known(path, name, names, kind.replace('_', ' ')[:-1])
+
+    def _check_blocks(self):
+        for block, region in self.base.client_blocks.items():
+            path = ('client_blocks', block)
+            try:
+                ipaddress.ip_network(block)
+            except ValueError as exc:
+                self.note(path, str(exc))
+            self.known(path, region, self.base.regions, 'region')
+
+    def _check_addresses(self):
+        seen = {}
+        rows = [
+            (name, host.address, host.port)
+            for name, (_, host) in self.cfg.entry_hosts().items()
+        ]
+        for services in self.cfg.sites.values():
+            for service in services.values():
+                for name, server in service.backend_servers.items():
+                    rows.append((name, server.address, server.port))
+        names = collections.Counter(name for name, _, _ in rows)
+        for name, count in names.items():
+            if count > 1:
+                self.note((), f'the name {name!r} stands twice')
+        for name, address, port in rows:
+            other = seen.setdefault((address, port), name)
+            if other != name:
+                text = f'{name!r} and {other!r} share {address}:{port}'
+                self.note((), text)
+
+
+def _unknown_services(source, known):
+    problems = []
+    services = source.value.get('services', {})
+    if not isinstance(services, dict):
+        return problems
+    for name in services:
+        if name not in known:
+            path = ('services', name)
+            hint = _convert.nearest_hint(name, known)
+            text = f'the base knows no service {name!r}{hint}'
+            place = str(source.place(path))
+            problems.append(_convert.Problem(place, f'services.{name}', text))
+    return problems
+
+
+def _site_services(base_source, overlay_source):
+    """Return the effective services of a site and their problems."""
+    known = base_source.value.get('services', {})
+    problems = _unknown_services(overlay_source, known)
+    _, found = _convert.convert(overlay_source, _model.Overlay)
+    problems.extend(found)
+    if problems:
+        return {}, problems
+    patch = overlay_source.value.get('services', {})
+    merged = dataclasses.replace(
+        overlay_source,
+        value={'services': _merge.merge_patch(known, patch)},
+    )
+    overlay, found = _convert.convert(merged, _model.Overlay)
+    return overlay.services, list(found)
+
+
+def _raise(problems):
+    if problems:
+        lines = '\n'.join(str(problem) for problem in problems)
+        raise errors.ConfigError(problems=lines)
+
+
+def build_configuration(bundle):
+    """Parse, merge and check the files of a configuration.
+
+    Parameters
+    ==========
+    bundle : Bundle
+        The texts of the files.
+
+    Returns
+    =======
+    Configuration
+
+    Raises
+    ======
+    errors.ConfigError
+        With all problems of all files, one a line.
+    """
+    base_source = _parse.parse_source(bundle.base, 'base.json')
+    base, problems = _convert.convert(base_source, _model.Base)
+    problems = list(problems)
+    _raise(problems)
+    sites = {}
+    for name, text in sorted(bundle.overlays.items()):
+        source = _parse.parse_source(text, f'sites/{name}.json')
+        if name not in base.sites:
+            hint = _convert.nearest_hint(name, base.sites)
+            problems.append(
+                _convert.Problem(
+                    f'{source.file}:1:1',
+                    '(file)',
+                    f'the base knows no site {name!r}{hint}',
+                )
+            )
+            continue
+        sites[name], found = _site_services(base_source, source)
+        problems.extend(found)
+    for name in base.sites:
+        sites.setdefault(name, base.services)
+    _raise(problems)
+    cfg = _model.Configuration(base, sites)
+    _raise(_Checker(base_source, cfg).check())
+    return cfg
--- /dev/null
+++ b/ebonypick/version/_shift.py
@@ -0,0 +1,46 @@
+"""The share that a shift allows, a pure function of time."""
+
+import math
+
+from ebonypick.version import _check
+
+
+def allowed_share(shift, now):
+    """Return the share of requests that may move at a time.
+
+    Explanation
+    ===========
+    No host is in charge of a shift: each works the share out by itself. A
+    host whose idea of the time is late uses a smaller share, never a larger
+    one, so ``now`` has to be a lower bound of the platform's time.
+
+    Examples
+    ========
+    >>> from ebonypick.version import _model
+    >>> shift = _model.Shift('roster', 'a', 'b', 0.3,
+    ...     '1970-01-01T00:00:00Z', step_share=0.1, hold_s=10)
+    >>> [round(allowed_share(shift, t), 3) for t in (-1, 0, 10, 20, 99)]
+    [0.0, 0.1, 0.2, 0.3, 0.3]
+
+    Parameters
+    ==========
+    shift : Shift
+        The shift.
+    now : float or None
+        A lower bound of the platform's time, in seconds since the epoch;
+        None where it is not known.
+
+    Returns
+    =======
+    float
+        From 0 to the shift's cap.
+    """
+    if now is None:
+        return 0.0
+    elapsed_s = now - _check.parse_time(shift.start)
+    if elapsed_s < 0:
+        return 0.0
+    if shift.hold_s == 0:
+        return shift.cap_share
+    steps = math.floor(elapsed_s / shift.hold_s) + 1
+    return min(shift.cap_share, steps * shift.step_share)
