--- a/ebonypick/connection/__init__.py
+++ b/ebonypick/connection/__init__.py
@@ -4,7 +4,6 @@
 registered by name, so that another form of an interface costs one module.
 """
 
-from ebonypick.connection import _headers as headers
 from ebonypick.connection._adapters import backend_adapters
 from ebonypick.connection._adapters import caller_adapters
 from ebonypick.connection._adapters import hostlist_adapters
@@ -15,12 +14,13 @@
 from ebonypick.connection._caller_http import CallerRequest
 from ebonypick.connection._caller_http import make_caller_server
 from ebonypick.connection._caller_http import problem
+from ebonypick.connection import _headers as headers
 from ebonypick.connection._hostlist_http import make_host_list
 from ebonypick.connection._platform_http import Condition
+from ebonypick.connection._platform_http import make_platform
 from ebonypick.connection._platform_http import PlatformTime
 from ebonypick.connection._platform_http import Put
 from ebonypick.connection._platform_http import Transaction
-from ebonypick.connection._platform_http import make_platform
 from ebonypick.connection._pool import ConnectFailedError
 from ebonypick.connection._pool import LostError
 from ebonypick.connection._pool import Pool
--- a/ebonypick/connection/_backend_http.py
+++ b/ebonypick/connection/_backend_http.py
@@ -7,10 +7,10 @@
 import aiohttp
 import msgspec
 
-from ebonypick import events
-from ebonypick import request
 from ebonypick.connection import _adapters
 from ebonypick.connection import _pool
+from ebonypick import events
+from ebonypick import request
 
 REQUEST_ID = 'x-request-id'
 DEADLINE_MS = 'x-deadline-ms'
--- a/ebonypick/connection/_caller_http.py
+++ b/ebonypick/connection/_caller_http.py
@@ -6,8 +6,8 @@
 import sanic
 import sanic.exceptions
 
-from ebonypick import errors
 from ebonypick.connection import _adapters
+from ebonypick import errors
 
 METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
 HEAD_LIMIT_BYTES = 16_384
--- a/ebonypick/connection/_hostlist_http.py
+++ b/ebonypick/connection/_hostlist_http.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from ebonypick import errors
 from ebonypick.connection import _adapters
 from ebonypick.connection import _pool
+from ebonypick import errors
 
 TIMEOUT_S = 2.0
 
--- a/ebonypick/connection/_platform_http.py
+++ b/ebonypick/connection/_platform_http.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
-from ebonypick import errors
-from ebonypick import version
 from ebonypick.connection import _adapters
 from ebonypick.connection import _pool
+from ebonypick import errors
+from ebonypick import version
 
 CURRENT = 'config/current'
 TIMEOUT_S = 2.0
--- a/ebonypick/process/__init__.py
+++ b/ebonypick/process/__init__.py
@@ -4,14 +4,14 @@
 from ebonypick.process._membership import HostRecord
 from ebonypick.process._membership import Membership
 from ebonypick.process._membership import Message
-from ebonypick.process._membership import View
 from ebonypick.process._membership import rendezvous
+from ebonypick.process._membership import View
 from ebonypick.process._node import EntryHost
 from ebonypick.process._node import make_entry_host
 from ebonypick.process._ownership import make_layout
 from ebonypick.process._settings import Endpoint
-from ebonypick.process._settings import Settings
 from ebonypick.process._settings import load_settings
+from ebonypick.process._settings import Settings
 
 __all__ = (
     'CentreRecord',
--- a/ebonypick/process/_attempt.py
+++ b/ebonypick/process/_attempt.py
@@ -8,8 +8,8 @@
 
 from ebonypick import connection
 from ebonypick import events
-from ebonypick import request
 from ebonypick.process import _service
+from ebonypick import request
 
 # Answers known to be no longer than this are read whole before they are
 # passed on, so that a read whose answer is truncated can be sent again.
--- a/ebonypick/process/_claims.py
+++ b/ebonypick/process/_claims.py
@@ -45,8 +45,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class ClaimReply:
-    """What became of it: ``granted``, ``running``, ``finished``,
-    ``forgotten`` or ``noted``.
+    """What became of a call.
+
+    Parameters
+    ==========
+    state : str
+        ``granted``, ``running``, ``finished``, ``forgotten`` or ``noted``.
+    record : Record or None
+        The answer, where the state is ``finished``.
+    reason : str
+        Why it was forgotten.
     """
 
     state: str
--- a/ebonypick/process/_control.py
+++ b/ebonypick/process/_control.py
@@ -8,10 +8,10 @@
 
 from ebonypick import errors
 from ebonypick import events
-from ebonypick import registry
-from ebonypick import request
 from ebonypick.process import _claims
 from ebonypick.process import _reader
+from ebonypick import registry
+from ebonypick import request
 
 controls = registry.Registry('control path')
 
--- a/ebonypick/process/_node.py
+++ b/ebonypick/process/_node.py
@@ -13,8 +13,6 @@
 from ebonypick import connection
 from ebonypick import errors
 from ebonypick import events
-from ebonypick import request
-from ebonypick import version
 from ebonypick.process import _board
 from ebonypick.process import _control
 from ebonypick.process import _gossip
@@ -26,6 +24,8 @@
 from ebonypick.process import _relay
 from ebonypick.process import _service
 from ebonypick.process import _tasks
+from ebonypick import request
+from ebonypick import version
 
 HOST_LIST_INTERVAL_S = 0.5
 RELAYOUT_S = 0.25
--- a/ebonypick/process/_ownership.py
+++ b/ebonypick/process/_ownership.py
@@ -3,8 +3,8 @@
 import collections
 import itertools
 
-from ebonypick import request
 from ebonypick.process import _membership
+from ebonypick import request
 
 # Backend servers of a service and data centre that have one owner. Larger
 # pools share their slots better; smaller ones spread over more hosts.
--- a/ebonypick/process/_relay.py
+++ b/ebonypick/process/_relay.py
@@ -6,11 +6,11 @@
 from ebonypick import connection
 from ebonypick import errors
 from ebonypick import events
-from ebonypick import request
 from ebonypick.process import _attempt
 from ebonypick.process import _body
 from ebonypick.process import _claims
 from ebonypick.process import _intake
+from ebonypick import request
 
 ATTEMPTS_MOST = 4
 ANSWER_STALL_S = 5.0
--- a/ebonypick/request/__init__.py
+++ b/ebonypick/request/__init__.py
@@ -15,14 +15,14 @@
 from ebonypick.request._once import Forgotten
 from ebonypick.request._once import Granted
 from ebonypick.request._once import OnceLedger
+from ebonypick.request._once import parse_key
 from ebonypick.request._once import Record
 from ebonypick.request._once import Running
-from ebonypick.request._once import parse_key
 from ebonypick.request._outcome import IDEMPOTENT_METHODS
+from ebonypick.request._outcome import may_send_again
 from ebonypick.request._outcome import Outcome
 from ebonypick.request._outcome import RequestInfo
 from ebonypick.request._outcome import Result
-from ebonypick.request._outcome import may_send_again
 from ebonypick.request._owner import Load
 from ebonypick.request._owner import Offer
 from ebonypick.request._owner import OwnerSettings
@@ -31,9 +31,9 @@
 from ebonypick.request._owner import Refused
 from ebonypick.request._owner import Report
 from ebonypick.request._owner import SlotOwner
-from ebonypick.request._policy import Target
 from ebonypick.request._policy import make_policy
 from ebonypick.request._policy import policies
+from ebonypick.request._policy import Target
 
 __all__ = (
     'Arrival',
--- a/ebonypick/version/__init__.py
+++ b/ebonypick/version/__init__.py
@@ -2,21 +2,21 @@
 
 from ebonypick.version._blocks import BlockTable
 from ebonypick.version._blocks import make_block_table
-from ebonypick.version._check import Bundle
 from ebonypick.version._check import build_configuration
+from ebonypick.version._check import Bundle
 from ebonypick.version._check import parse_time
 from ebonypick.version._convert import convert
 from ebonypick.version._files import read_bundle
-from ebonypick.version._holder import Delta
-from ebonypick.version._holder import EMPTY_BUNDLE
-from ebonypick.version._holder import Holder
-from ebonypick.version._holder import Version
 from ebonypick.version._holder import apply_delta
 from ebonypick.version._holder import bundle_digest
 from ebonypick.version._holder import decode_bundle
+from ebonypick.version._holder import Delta
+from ebonypick.version._holder import EMPTY_BUNDLE
 from ebonypick.version._holder import encode_bundle
+from ebonypick.version._holder import Holder
 from ebonypick.version._holder import make_delta
 from ebonypick.version._holder import make_version
+from ebonypick.version._holder import Version
 from ebonypick.version._merge import merge_patch
 from ebonypick.version._model import Address
 from ebonypick.version._model import Base
@@ -29,15 +29,15 @@
 from ebonypick.version._parse import read_source
 from ebonypick.version._shift import allowed_share
 from ebonypick.version._submit import Accepted
+from ebonypick.version._submit import changed_paths
 from ebonypick.version._submit import Commit
 from ebonypick.version._submit import Conflict
+from ebonypick.version._submit import make_submission
 from ebonypick.version._submit import PutObject
 from ebonypick.version._submit import ReadRow
 from ebonypick.version._submit import Row
 from ebonypick.version._submit import Submission
 from ebonypick.version._submit import Undecided
-from ebonypick.version._submit import changed_paths
-from ebonypick.version._submit import make_submission
 
 __all__ = (
     'Accepted',
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -12,9 +12,9 @@
 import urllib.error
 import urllib.request
 
+from ebonypick.cli import _submission
 from ebonypick import connection
 from ebonypick import version
-from ebonypick.cli import _submission
 
 START_LONGEST_S = 40.0
 STOP_LONGEST_S = 10.0
