Keep a caller's X-Request-Id from the backend server's echo

Cause: bench.path sent X-Request-Id itself; the backend server then got the header twice, echoed the first, and the answer was dropped as foreign (502). Change: the backend adapter replaces the caller's headers of its own names. Ruled out: a mix-up of connections, as the log showed the caller's value.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that anyone can run again."""
--- a/ebonypick/connection/_backend_http.py
+++ b/ebonypick/connection/_backend_http.py
@@ -15,6 +15,7 @@
 REQUEST_ID = 'x-request-id'
 DEADLINE_MS = 'x-deadline-ms'
 STATUS = 'x-request-status'
+OWN_NAMES = frozenset({REQUEST_ID, DEADLINE_MS})
 PROBE_TIMEOUT_S = 1.0
 
 
@@ -87,10 +88,12 @@
             (REQUEST_ID, info.req),
             (DEADLINE_MS, str(max(1, int(timeout_s * 1000)))),
         ]
+        # The caller's own headers of these names are for another hop.
+        rows = [row for row in headers if row[0].lower() not in OWN_NAMES]
         async with self.pool.request(
             info.method,
             path,
-            headers + own,
+            rows + own,
             data,
             fresh=fresh or not info.idempotent,
             timeout_s=timeout_s,
