--- /dev/null
+++ b/ebonypick/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""The load and experiment tool: cases, baselines, reports."""
--- /dev/null
+++ b/ebonypick/request/tests/test_once.py
@@ -0,0 +1,104 @@
+"""A request with a key runs at most once, in any order of claims."""
+
+import hypothesis
+from hypothesis import given
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from ebonypick import request
+from ebonypick.request import _once
+
+HOLDERS = ('h1', 'h2', 'h3')
+KEYS = 3
+
+
+class OnceMachine(stateful.RuleBasedStateMachine):
+    """Holders that claim, pause, run late, release, and lose replies."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.boots = 0
+        self.runs = {}
+        self.granted = set()
+        self.start_host()
+        prefix = self.ledger.prefix(0.0)
+        self.keys = [request.parse_key(f'{prefix}k{i}') for i in range(KEYS)]
+
+    def start_host(self):
+        self.boots += 1
+        self.ledger = request.OnceLedger('e1', f'b{self.boots}', self.now)
+
+    @stateful.rule()
+    def host_is_killed_and_starts(self):
+        self.start_host()
+
+    @stateful.rule(gap_s=st.floats(0, 1200))
+    def time_passes(self, gap_s):
+        self.now += gap_s
+
+    @stateful.rule(
+        number=st.integers(0, KEYS - 1),
+        holder=st.sampled_from(HOLDERS),
+        lost=st.booleans(),
+    )
+    def claim(self, number, holder, lost):
+        key = self.keys[number]
+        found = self.ledger.claim(key, holder, self.now)
+        if isinstance(found, request.Granted) and not lost:
+            self.granted.add((number, holder))
+
+    @stateful.precondition(lambda self: self.granted)
+    @stateful.rule(data=st.data(), runs=st.booleans())
+    def go_on(self, data, runs):
+        """A holder, however long it was paused, runs or releases."""
+        number, holder = data.draw(st.sampled_from(sorted(self.granted)))
+        self.granted.discard((number, holder))
+        if not runs:
+            self.ledger.release(self.keys[number], holder)
+            return
+        self.runs[number] = self.runs.get(number, 0) + 1
+        assert self.runs[number] == 1
+        record = request.Record(200, (), None)
+        self.ledger.finish(self.keys[number], holder, record)
+
+
+TestOnce = OnceMachine.TestCase
+TestOnce.settings = hypothesis.settings(stateful_step_count=40)
+
+
+def test_a_second_try_gets_the_first_answer():
+    """A repeated key is answered from the record."""
+    ledger = request.OnceLedger('e1', 'b', 0.0)
+    key = request.parse_key(ledger.prefix(0.0) + 'x')
+    ledger.claim(key, 'h1', 0.0)
+    record = request.Record(200, (('a', 'b'),), 'Ym9keQ==')
+    ledger.finish(key, 'h1', record)
+    assert ledger.claim(key, 'h2', 1.0) == request.Finished(record)
+
+
+def test_a_key_of_an_earlier_start_is_never_granted():
+    """A restarted host does not know what ran before."""
+    old = request.OnceLedger('e1', 'b1', 0.0)
+    key = request.parse_key(old.prefix(0.0) + 'x')
+    new = request.OnceLedger('e1', 'b2', 5.0)
+    assert isinstance(new.claim(key, 'h', 6.0), request.Forgotten)
+
+
+def test_memory_is_bounded_in_time():
+    """Old keys are dropped and then refused, never granted again."""
+    ledger = request.OnceLedger('e1', 'b', 0.0)
+    key = request.parse_key(ledger.prefix(0.0) + 'x')
+    ledger.claim(key, 'h', 0.0)
+    later = (_once.EPOCHS_KEPT + 2) * _once.EPOCH_S
+    fresh = request.parse_key(ledger.prefix(later) + 'y')
+    ledger.claim(fresh, 'h', later)
+    assert len(ledger) == 1
+    assert isinstance(ledger.claim(key, 'h', later), request.Forgotten)
+
+
+@given(st.text(max_size=220))
+def test_any_text_is_parsed_or_refused(text):
+    """No key makes the parser fail."""
+    found = request.parse_key(text)
+    assert found is None or found.text == text
--- /dev/null
+++ b/ebonypick/version/tests/test_submit.py
@@ -0,0 +1,126 @@
+"""Operators race at a platform that is slow, down, or loses replies."""
+
+import itertools
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from ebonypick import version
+
+OPERATORS = ('anna', 'bjarni', 'carla')
+
+
+class Table:
+    """The rows of the versions, with compare-and-set."""
+
+    def __init__(self):
+        self.rows = {}
+
+    @property
+    def current(self):
+        return max(self.rows, default=0)
+
+    def commit(self, operation):
+        if operation.base != self.current:
+            return self.rows.get(operation.row.number)
+        self.rows[operation.row.number] = operation.row
+        return None
+
+
+class SubmitMachine(stateful.RuleBasedStateMachine):
+    """Operations whose replies are lost, and that may arrive late."""
+
+    def __init__(self):
+        super().__init__()
+        self.table = Table()
+        self.states = {}
+        self.late = []
+        self.names = itertools.count()
+        self.ended = []
+
+    @stateful.rule(by=st.sampled_from(OPERATORS), behind=st.integers(0, 1))
+    def start(self, by, behind):
+        base = max(0, self.table.current - behind)
+        bundle = version.Bundle(f'{{"n": {next(self.names)}}}', {})
+        name = f's{next(self.names)}'
+        state = version.make_submission(bundle, base, name, by)
+        self.states.setdefault(by, state)
+
+    @stateful.precondition(lambda self: self.states)
+    @stateful.rule(
+        data=st.data(),
+        way=st.sampled_from(['answered', 'lost', 'down', 'late']),
+    )
+    def step(self, data, way):
+        by = data.draw(st.sampled_from(sorted(self.states)))
+        state = self.states[by]
+        operation = state.operation()
+        if way == 'down':
+            after = state.fail('down')
+        elif way == 'late':
+            self.late.append(operation)
+            after = state.fail('slow')
+        elif way == 'lost':
+            self.apply(operation)
+            after = state.fail('lost')
+        else:
+            after = state.succeed(self.apply(operation))
+        if isinstance(after, version.Submission):
+            self.states[by] = after
+            return
+        del self.states[by]
+        self.ended.append((state.row, after))
+
+    @stateful.precondition(lambda self: self.late)
+    @stateful.rule()
+    def late_operation_arrives(self):
+        self.apply(self.late.pop(0))
+
+    def apply(self, operation):
+        if isinstance(operation, version.Commit):
+            return self.table.commit(operation)
+        if isinstance(operation, version.ReadRow):
+            return self.table.rows.get(operation.number)
+        return None
+
+    @stateful.invariant()
+    def what_operators_were_told_is_true(self):
+        for row, after in self.ended:
+            stands = self.table.rows.get(row.number)
+            if isinstance(after, version.Accepted):
+                assert stands.submission == row.submission
+            elif isinstance(after, version.Conflict):
+                assert stands.submission != row.submission
+
+    @stateful.invariant()
+    def versions_have_no_gap(self):
+        assert sorted(self.table.rows) == list(
+            range(1, self.table.current + 1)
+        )
+
+
+TestSubmit = SubmitMachine.TestCase
+TestSubmit.settings = hypothesis.settings(stateful_step_count=60)
+
+
+def test_lost_reply_is_settled_by_reading_back():
+    """A commit that took effect is found to be accepted."""
+    table = Table()
+    state = version.make_submission(version.Bundle('{}', {}), 0, 's', 'a')
+    state = state.succeed()
+    table.commit(state.operation())
+    state = state.fail('lost')
+    found = state.succeed(table.rows[1])
+    assert found == version.Accepted(1)
+
+
+def test_loser_learns_who_won():
+    """The conflict names the row that stands there."""
+    table = Table()
+    one = version.make_submission(version.Bundle('{}', {}), 0, 's1', 'anna')
+    two = version.make_submission(version.Bundle('{}', {}), 0, 's2', 'carla')
+    table.commit(one.succeed().operation())
+    commit = two.succeed()
+    found = commit.succeed(table.commit(commit.operation()))
+    assert found.row.by == 'anna'
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -159,7 +159,7 @@
         )
         run, notes = asyncio.run(_run(deployment, rng))
         records = deployment.all_records()
-    runs = history.runs_of(records)
+        runs = deployment.runs()
     left_at = {
         name: record['leaving_since']
         for name, record in records.items()
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from standins import _serve
+from standins import history
 
 NAME = flags.DEFINE_string('name', 'backend', 'Name of the server.')
 ADDRESS = flags.DEFINE_string('address', '127.0.0.1', 'IP number.')
@@ -74,7 +75,10 @@
         self._rng = random.Random(SEED.value)
 
     def note(self, req, method, path, key, state):
-        self.runs.append(Run(req, method, path, key, state, time.time()))
+        run = Run(req, method, path, key, state, time.time())
+        self.runs.append(run)
+        # The log outlives the process, so that a killed server's runs count.
+        print(history.RUN_MARK + msgspec.json.encode(run).decode(), flush=True)
 
     def cold(self):
         return time.monotonic() - self.started_at < COLD_S.value
@@ -274,7 +278,6 @@
             'slots': SLOTS.value,
             'shed': self.backend.shed,
             'leaving_since': self.backend.leaving_since,
-            'runs': self.backend.runs,
         }
 
 
--- a/standins/history.py
+++ b/standins/history.py
@@ -6,6 +6,9 @@
 import collections
 import dataclasses
 
+# Starts a line of a backend server's log that holds a run.
+RUN_MARK = 'RUN '
+
 
 @dataclasses.dataclass(frozen=True)
 class Call:
@@ -88,21 +91,17 @@
     text: str
 
 
-def runs_of(records):
-    """Return the runs in the records of backend servers."""
-    return [
-        Run(
-            name,
-            row['req'],
-            row['method'],
-            row['path'],
-            row['key'],
-            row['state'],
-            row['at'],
-        )
-        for name, record in records.items()
-        for row in record['runs']
-    ]
+def run_of(server, row):
+    """Return the run in a line of a backend server's log."""
+    return Run(
+        server,
+        row['req'],
+        row['method'],
+        row['path'],
+        row['key'],
+        row['state'],
+        row['at'],
+    )
 
 
 def _mark_of(target):
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -15,6 +15,7 @@
 from ebonypick.cli import _submission
 from ebonypick import connection
 from ebonypick import version
+from standins import history
 
 START_LONGEST_S = 40.0
 STOP_LONGEST_S = 10.0
@@ -240,6 +241,19 @@
                 found[name] = self.records(name)
         return found
 
+    def runs(self):
+        """Return the runs in the logs of all backend servers."""
+        found = []
+        for name in self.backend_rows():
+            path = self.folder / f'{name}.log'
+            if not path.exists():
+                continue
+            for line in path.read_text().splitlines():
+                if line.startswith(history.RUN_MARK):
+                    row = json.loads(line[len(history.RUN_MARK) :])
+                    found.append(history.run_of(name, row))
+        return found
+
     def backend_faults(self, name, **faults):
         """Set faults of a backend server."""
         fetch(f'{self.backend_url(name)}/_control/faults', faults)
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,238 @@
+"""A deployment with wires on every hop, under load from two regions."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import random
+import signal
+
+from ebonypick import caller
+from ebonypick import version
+from standins import history
+from standins import launch
+from standins import load
+from standins import sample
+from standins import wire
+
+OCTET = 90
+PLATFORM = '127.90.250.1'
+PLATFORM_FRONT = ('127.90.250.9', 8300)
+SHAPE = sample.Shape(
+    regions=2,
+    centres=2,
+    hosts=1,
+    services={'registry': (3, 3, 5), 'evidence': (1, 3, 10)},
+    octet=OCTET,
+)
+# Callers of a region connect from its client block.
+CLIENTS = ('127.190.1.9', '127.190.2.9')
+GAP_S = 0.02
+UPLOAD_BYTES = 1 << 20
+
+
+def front_address(address):
+    """Return the address of the wire before an address."""
+    parts = address.split('.')
+    return '.'.join([*parts[:3], str(int(parts[3]) + 50)])
+
+
+def _front(value):
+    """Return plain values with the wires' addresses in place of the ends'."""
+    if isinstance(value, dict):
+        return {
+            key: front_address(item) if key == 'address' else _front(item)
+            for key, item in value.items()
+        }
+    return value
+
+
+class WiredDeployment(launch.Deployment):
+    """A deployment whose hosts meet each other through wires only.
+
+    Parameters
+    ==========
+    shape : Shape
+        Its shape.
+    changes : dict
+        Changes to the base.
+    """
+
+    def __init__(self, shape=SHAPE, backend_flags=None, **changes):
+        self.shape = shape
+        self.plain = sample.make_bundle(shape, **changes)
+        self.wires = wire.Wires()
+        # The processes listen at the plain addresses; the submitted
+        # configuration names those of the wires.
+        super().__init__(self.plain, PLATFORM, backend_flags)
+
+    def wired(self, bundle):
+        """Return a bundle with the wires' addresses."""
+        base = json.loads(bundle.base)
+        base['regions'] = _front(base['regions'])
+        overlays = {
+            name: json.dumps(_front(json.loads(text)))
+            for name, text in bundle.overlays.items()
+        }
+        return version.Bundle(json.dumps(base, indent=1), overlays)
+
+    def __enter__(self):
+        self.wires.__enter__()
+        rows = [
+            (name, host.address, host.port)
+            for name, (_, host) in self.cfg.entry_hosts().items()
+        ]
+        rows += [
+            (name, row[3].address, row[3].port)
+            for name, (_, row) in self.backend_rows().items()
+        ]
+        for name, address, port in rows:
+            self.wires.add(
+                name, (front_address(address), port), (address, port)
+            )
+        self.wires.add('platform', PLATFORM_FRONT, (PLATFORM, 8300))
+        return self
+
+    def __exit__(self, *exc_info):
+        super().__exit__(*exc_info)
+        self.wires.__exit__(*exc_info)
+
+    def start_entry(self, name, **changes):
+        """Start an entry host that uses the platform through its wire."""
+        address, port = PLATFORM_FRONT
+        super().start_entry(
+            name, platform={'address': address, 'port': port}, **changes
+        )
+
+    def submit(self, bundle, base_number, by='operator'):
+        """Submit a bundle with the wires' addresses."""
+        return super().submit(self.wired(bundle), base_number, by)
+
+    def bootstrap(self):
+        """Return the bootstrap list: the wires before all entry hosts."""
+        return [(front_address(a), port) for a, port in super().bootstrap()]
+
+    def address(self, name):
+        """Return the address that an entry host connects from."""
+        return self.cfg.entry_hosts()[name][1].address
+
+    def change_base(self, change):
+        """Return the plain bundle with its base changed by a function."""
+        base = json.loads(self.plain.base)
+        change(base)
+        self.plain = version.Bundle(json.dumps(base), self.plain.overlays)
+        return self.plain
+
+    def number_in_force(self, name):
+        """Return the version in force on an entry host."""
+        return self.status(name)['config_version']
+
+    def wait_version(self, number, names=None, longest_s=18.0):
+        """Wait until a version is in force on entry hosts."""
+        for name in names or self.cfg.entry_hosts():
+            launch.wait_until(
+                lambda: self.number_in_force(name) >= number,
+                f'version {number} on {name}',
+                longest_s,
+            )
+
+    def restore(self):
+        """Bring all processes back to health after a scenario."""
+        self.wires.heal()
+        if self.processes['platform'].poll() is not None:
+            self.start_platform()
+        self.platform_faults(down=False, delay_ms=0, lose_replies=0)
+        for name, process in list(self.processes.items()):
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+            elif name in self.cfg.entry_hosts():
+                self.start_entry(name)
+            elif name != 'platform':
+                self.start_backend(name)
+        self.wait_ready()
+        for name in self.backend_rows():
+            self.backend_faults(
+                name,
+                hang=0,
+                reset_before_run=0,
+                reset_after_run=0,
+                truncate=0,
+                foreign=0,
+                lie_free=False,
+                service_ms=None,
+            )
+
+
+@dataclasses.dataclass
+class Result:
+    """What a run under load gave."""
+
+    run: load.LoadRun
+    runs: list
+    violations: list
+
+    def of(self, method=None, uploads=None):
+        """Return the calls of a method, with or without uploads."""
+        return [
+            call
+            for call in self.run.calls
+            if method in (None, call.method)
+            and uploads in (None, call.sent_bytes >= 65_536)
+        ]
+
+
+def make_plan(run, actions=True, uploads=True):
+    """Return what to send: reads, actions and uploads with weights."""
+    plan = [(0.6, lambda c: run.read(c, 'registry'))]
+    if actions:
+        plan.append((0.3, lambda c: run.act(c, 'registry')))
+    if uploads:
+        plan.append((0.05, lambda c: run.upload(c, 'evidence', UPLOAD_BYTES)))
+    return plan
+
+
+def run_under_load(
+    deployment,
+    disturb,
+    seconds,
+    seed,
+    gap_s=GAP_S,
+    plan=make_plan,
+    clients=CLIENTS,
+):
+    """Send a mix while a coroutine function disturbs the deployment.
+
+    Returns
+    =======
+    Result
+    """
+    rng = random.Random(seed)
+    run = load.LoadRun(rng)
+
+    async def main():
+        async with contextlib.AsyncExitStack() as stack:
+            callers = [
+                await stack.enter_async_context(
+                    caller.make_caller(
+                        deployment.bootstrap(),
+                        client=client,
+                        local_address=client,
+                        rng=random.Random(rng.random()),
+                    )
+                )
+                for client in clients
+            ]
+            await asyncio.gather(
+                run.mixed(callers, plan(run), seconds, gap_s), disturb()
+            )
+
+    asyncio.run(main())
+    runs = deployment.runs()
+    violations = history.check_calls(run.calls, runs)
+    return Result(run, runs, violations)
+
+
+async def in_thread(function, *args):
+    """Run a blocking function beside the load."""
+    loop = asyncio.get_running_loop()
+    return await loop.run_in_executor(None, function, *args)
