Prove planned stops, leaving servers and configurations; mend five faults

Found by the new scenarios, each with its cause: - An action whose key another entry host had issued never ended: the record of its answer held header names of the HTTP library's own kind of text, which msgspec refuses. Seen as 409 'still running' until the deadline. Header names and values are plain text now (test_headers.py). - An unforeseen error was answered 'not-run', which nobody knows. It is 'unknown' now, and is logged. - A backend server that had left and started again got no work, as its earlier word was kept (test_owner.py). - A host that started while the platform was down never got a configuration from its seeds, as it looked the sender up by a name it could not know. - Connections to the platform and to backend servers did not come from the host's own address, so that a cut by source missed them. Ruled out: a lost wake-up in the shielded run of actions with keys, as the same requests ended when the key was the host's own.

--- a/ebonypick/connection/_backend_http.py
+++ b/ebonypick/connection/_backend_http.py
@@ -45,11 +45,13 @@
         IP number.
     port : int
         TCP port.
+    local_address : str, optional
+        IP number to connect from.
     """
 
-    def __init__(self, name, address, port):
+    def __init__(self, name, address, port, local_address=None):
         self.name = name
-        self.pool = _pool.Pool(address, port)
+        self.pool = _pool.Pool(address, port, local_address)
 
     async def __aenter__(self):
         await self.pool.__aenter__()
@@ -144,9 +146,10 @@
         )
 
 
-def make_backend_link(kind, name, address, port):
+def make_backend_link(kind, name, address, port, local_address=None):
     """Return the link to a backend server by the adapter ``kind``."""
-    return _adapters.backend_adapters.get(kind)(name, address, port)
+    make = _adapters.backend_adapters.get(kind)
+    return make(name, address, port, local_address)
 
 
 async def read_start(resp, limit):
--- a/ebonypick/connection/_caller_http.py
+++ b/ebonypick/connection/_caller_http.py
@@ -8,6 +8,7 @@
 
 from ebonypick.connection import _adapters
 from ebonypick import errors
+from ebonypick import events
 
 METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
 HEAD_LIMIT_BYTES = 16_384
@@ -177,6 +178,8 @@
         )
     if isinstance(exc, sanic.exceptions.SanicException):
         return errors.RequestError(reason=str(exc) or 'malformed')
+    # Nothing is known about a request that failed in an unforeseen way.
+    events.TASK_FAILED.log(task='request', why=f'{exc!r}')
     return errors.EbonypickError()
 
 
--- a/ebonypick/connection/_headers.py
+++ b/ebonypick/connection/_headers.py
@@ -50,7 +50,8 @@
     headers : iterable of (str, str)
         Names and values.
     """
-    rows = list(headers)
+    # The libraries' own kinds of text cannot be encoded as JSON.
+    rows = [(str(name), str(value)) for name, value in headers]
     named = {
         token.strip().lower()
         for name, value in rows
--- a/ebonypick/connection/_hostlist_http.py
+++ b/ebonypick/connection/_hostlist_http.py
@@ -29,11 +29,13 @@
         IP number.
     port : int
         TCP port.
+    local_address : str, optional
+        IP number to connect from.
     """
 
-    def __init__(self, address, port):
+    def __init__(self, address, port, local_address=None):
         self._address = f'{address}:{port}'
-        self._pool = _pool.Pool(address, port)
+        self._pool = _pool.Pool(address, port, local_address)
 
     async def __aenter__(self):
         await self._pool.__aenter__()
@@ -54,6 +56,8 @@
             status, body = await self._pool.call_json(
                 'GET', '/hosts', timeout_s=TIMEOUT_S
             )
+            if status != 200:
+                raise _pool.LostError(f'status {status}')
             rows = msgspec.json.decode(body, type=list[HostState])
         except (
             _pool.ConnectFailedError,
@@ -66,6 +70,6 @@
         return frozenset(row.name for row in rows if row.state == 'leaving')
 
 
-def make_host_list(kind, address, port):
+def make_host_list(kind, address, port, local_address=None):
     """Return the host list by the adapter ``kind``."""
-    return _adapters.hostlist_adapters.get(kind)(address, port)
+    return _adapters.hostlist_adapters.get(kind)(address, port, local_address)
--- a/ebonypick/connection/_platform_http.py
+++ b/ebonypick/connection/_platform_http.py
@@ -69,11 +69,13 @@
         IP number.
     port : int
         TCP port.
+    local_address : str, optional
+        IP number to connect from.
     """
 
-    def __init__(self, address, port):
+    def __init__(self, address, port, local_address=None):
         self._address = f'{address}:{port}'
-        self._pool = _pool.Pool(address, port)
+        self._pool = _pool.Pool(address, port, local_address)
         self.time = None
         self._etag = None
 
@@ -226,6 +228,6 @@
         return body if resp.status == 200 else None
 
 
-def make_platform(kind, address, port):
+def make_platform(kind, address, port, local_address=None):
     """Return the platform by the adapter ``kind``."""
-    return _adapters.platform_adapters.get(kind)(address, port)
+    return _adapters.platform_adapters.get(kind)(address, port, local_address)
--- a/ebonypick/errors.py
+++ b/ebonypick/errors.py
@@ -24,7 +24,7 @@
 
     code = 'EP1000'
     status = 500
-    outcome = 'not-run'
+    outcome = 'unknown'
     retry_after_s = None
     message = 'Something failed.'
     remedy = 'Read the log of the process that answered.'
@@ -53,6 +53,7 @@
 
     code = 'EP2000'
     status = 400
+    outcome = 'not-run'
     message = 'The request is not valid: {reason}.'
     remedy = 'Correct the request and send it again.'
 
@@ -152,6 +153,7 @@
 
     code = 'EP2100'
     status = 503
+    outcome = 'not-run'
     retry_after_s = 1
     message = 'The request could not be served: {reason}.'
     remedy = 'Send it again after the time in Retry-After.'
--- a/ebonypick/process/_gossip.py
+++ b/ebonypick/process/_gossip.py
@@ -56,7 +56,7 @@
     def receive(self, data):
         """Take in a peer's message; return the reply's bytes."""
         message = msgspec.json.decode(data, type=_membership.Message)
-        self._take(message)
+        self._take(message, message.sender)
         return self._encode(message.data_centre)
 
     def _encode(self, to_centre):
@@ -68,9 +68,11 @@
         )
         return msgspec.json.encode(message)
 
-    def _take(self, message):
+    def _take(self, message, source):
         self._membership.receive(message, time.monotonic())
-        self._node.hear_version(message.version, message.sender)
+        # Before there is a configuration, only the seed that gave the
+        # message is known how to be reached, not its sender by name.
+        self._node.hear_version(message.version, source)
         self._node.hear_platform_time(message.platform_s)
         self._publish()
 
@@ -116,7 +118,7 @@
         )
 
     async def _exchange(self, name):
-        peer = self._node.peers.get(name) or self._node.seeds.get(name)
+        peer = self._node.peer(name)
         if peer is None:
             return
         data = self._encode(self._node.centre_of(name))
@@ -130,7 +132,8 @@
                 timeout_s=EXCHANGE_TIMEOUT_S,
             )
             if status == 200:
-                self._take(msgspec.json.decode(body, type=_membership.Message))
+                found = msgspec.json.decode(body, type=_membership.Message)
+                self._take(found, name)
         except (
             connection.ConnectFailedError,
             connection.LostError,
--- a/ebonypick/process/_node.py
+++ b/ebonypick/process/_node.py
@@ -64,11 +64,13 @@
             settings.adapter('platform'),
             settings.platform.address,
             settings.platform.port,
+            settings.address,
         )
         self._host_list = connection.make_host_list(
             settings.adapter('host list'),
             settings.platform.address,
             settings.platform.port,
+            settings.address,
         )
         self._rng = random.Random(uuid.uuid4().int)
         self.gossip = _gossip.GossipTask(
@@ -207,6 +209,10 @@
         if wait_s > 0:
             await asyncio.sleep(wait_s)
 
+    def peer(self, name):
+        """Return the connections to an entry host or seed, or None."""
+        return self.peers.get(name) or self.seeds.get(name)
+
     def note_failed_peer(self, host):
         """Note that another entry host could not be reached."""
         self.gossip.fail(host)
@@ -303,7 +309,11 @@
         self._links = links
 
     async def _read_host_list(self):
-        found = await self._host_list.leaving()
+        try:
+            found = await self._host_list.leaving()
+        except errors.PlatformError as exc:
+            events.PLATFORM_FAILED.log(why=str(exc))
+            return
         if found != self.board.leaving_hosts:
             self.board.publish(leaving_hosts=found)
 
@@ -424,7 +434,9 @@
         await self._reopen(
             self.backends,
             wanted,
-            lambda name, end: connection.make_backend_link(kind, name, *end),
+            lambda name, end: connection.make_backend_link(
+                kind, name, *end, self.settings.address
+            ),
         )
 
     async def _reopen(self, owners, wanted, make):
--- a/ebonypick/process/_tasks.py
+++ b/ebonypick/process/_tasks.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+from ebonypick import errors
 from ebonypick import events
 
 RESTART_PAUSE_S = 0.2
@@ -52,5 +53,13 @@
         """Start a coroutine as a task of the group."""
         task = asyncio.get_running_loop().create_task(coro)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._ended)
         return task
+
+    def _ended(self, task):
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        exc = task.exception()
+        if not isinstance(exc, errors.EbonypickError):
+            events.TASK_FAILED.log(task=task.get_name(), why=f'{exc!r}')
--- a/ebonypick/request/_owner.py
+++ b/ebonypick/request/_owner.py
@@ -115,13 +115,19 @@
         self.held = set()
         self.room = 0
         self.owned = True
-        self.leaving = False
+        self.told_leaving = False
+        self.says_leaving = False
         self.warm_from = -math.inf
         self.suspended_until = -math.inf
         self.failures = 0
         self.stamp = 0
         self.counted_free = 0
 
+    @property
+    def leaving(self):
+        """Whether anyone says that it leaves."""
+        return self.told_leaving or self.says_leaving
+
     @property
     def free(self):
         """Slots that may be given out now."""
@@ -231,7 +237,7 @@
                 server.limit = min(server.limit, float(slots))
         for server in list(self._servers.values()):
             server.owned = server.name in backends
-            server.leaving = server.name in leaving
+            server.told_leaving = server.name in leaving
             self._refresh(server, now)
         return self._pull(now)
 
@@ -380,8 +386,8 @@
         server = self._servers.get(backend)
         if server is None:
             return ()
-        if report.leaving:
-            server.leaving = True
+        # A server that started again after it left says so no more.
+        server.says_leaving = report.leaving
         if report.cold and now - server.warm_from >= self.settings.warm_s:
             server.warm_from = now
         self._refresh(server, now)
--- a/ebonypick/request/tests/test_owner.py
+++ b/ebonypick/request/tests/test_owner.py
@@ -186,6 +186,19 @@
     assert isinstance(decision, request.Refused)
 
 
+def test_server_that_comes_back_after_leaving_gets_work_again():
+    """Its own word counts anew; that of operators stays."""
+    owner = request.SlotOwner(request.OwnerSettings())
+    owner.update({'b1': 2}, 0.0)
+    owner.report('b1', request.Report(0, 2, leaving=True), 0.0)
+    assert owner.load(0.0).capacity == 0
+    owner.report('b1', request.Report(0, 2), 1.0)
+    assert owner.load(1.0).capacity == 2
+    owner.update({'b1': 2}, 2.0, frozenset({'b1'}))
+    owner.report('b1', request.Report(0, 2), 3.0)
+    assert owner.load(3.0).capacity == 0
+
+
 def test_sheds_lower_the_limit_and_successes_raise_it_again():
     """The limit adapts where another owner uses the same slots."""
     owner = request.SlotOwner(request.OwnerSettings())
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -17,7 +17,7 @@
 from ebonypick import version
 from standins import history
 
-START_LONGEST_S = 40.0
+START_LONGEST_S = 20.0
 STOP_LONGEST_S = 10.0
 PLATFORM_PORT = 8300
 
--- a/standins/wire.py
+++ b/standins/wire.py
@@ -19,8 +19,10 @@
         self.silent = False
         self.tasks = []
         self.writers = []
+        self.closed = asyncio.Event()
 
     def close(self):
+        self.closed.set()
         for task in self.tasks:
             task.cancel()
         for writer in self.writers:
@@ -54,7 +56,8 @@
         try:
             if self.is_cut(source):
                 # Nothing comes through, as on a link that drops packets.
-                await asyncio.sleep(3600)
+                await conn.closed.wait()
+                return
             far = await asyncio.open_connection(
                 *self.back, local_addr=(source, 0)
             )
@@ -63,8 +66,9 @@
                 self._copy(conn, reader, far[1]),
                 self._copy(conn, far[0], writer),
             )
-            conn.tasks = [asyncio.ensure_future(way) for way in ways]
-            await asyncio.wait(conn.tasks, return_when=asyncio.FIRST_COMPLETED)
+            copies = [asyncio.ensure_future(way) for way in ways]
+            conn.tasks = copies
+            await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
         except (OSError, asyncio.CancelledError):
             pass
         finally:
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -142,3 +142,17 @@
     """Let a backend server say that it leaves."""
     url = f'{deployment.backend_url(_backend(deployment))}/_control/drain'
     await world.in_thread(launch.fetch, url, {})
+
+
+@faults.register('the platform is down for a while')
+async def platform_down_a_while(deployment):
+    """Let the platform fail and come back."""
+    await world.in_thread(lambda: deployment.platform_faults(down=True))
+    await asyncio.sleep(2)
+    await world.in_thread(lambda: deployment.platform_faults(down=False))
+
+
+@faults.register('the platform loses replies after the write')
+async def platform_loses_replies(deployment):
+    """Break the connection after a write took effect, many times."""
+    await world.in_thread(lambda: deployment.platform_faults(lose_replies=25))
--- a/tests/features/requests.feature
+++ b/tests/features/requests.feature
@@ -4,7 +4,7 @@
   once.
 
   Scenario Outline: Requests under faults
-    Given a deployment under load from two regions
+    Given a deployment in good health
     When <first>, while <second>
     Then no invariant about requests is broken
     And nearly all reads are answered
@@ -25,3 +25,18 @@
       | a data centre is cut off for a while             | a backend server is killed                        |
       | all open connections go silent                   | nothing                                           |
       | all open connections go silent                   | the platform is down                              |
+
+  Scenario Outline: Requests with keys kept in the platform's table
+    Given a deployment in good health
+    And keys are kept at the table
+    When <first>, while <second>
+    Then no invariant about requests is broken
+    And nearly all reads are answered
+    And some actions are done
+
+    Examples:
+      | first                                            | second                                            |
+      | the platform loses replies after the write       | nothing                                           |
+      | the platform loses replies after the write       | an entry host is killed                           |
+      | the platform is down for a while                 | backend servers reset connections after the run   |
+      | an entry host is frozen and wakes                | the platform loses replies after the write        |
--- /dev/null
+++ b/tests/features/stops.feature
@@ -0,0 +1,28 @@
+Feature: Planned work interrupts nobody
+  A planned stop cuts off no request in flight. A backend server that leaves
+  gets no new work after a few seconds, whoever says that it leaves.
+
+  Scenario Outline: Entry hosts stop while callers send
+    Given a deployment in good health
+    When callers send while <count> entry hosts stop
+    Then every request is done
+    And no invariant about requests is broken
+    And the entry hosts have ended by themselves
+
+    Examples:
+      | count |
+      | 1     |
+      | 2     |
+
+  Scenario Outline: A backend server leaves
+    Given a deployment in good health
+    When callers send while <source> says that a backend server leaves
+    Then it starts no request after 2 seconds
+    And every request is done
+    And no invariant about requests is broken
+
+    Examples:
+      | source             |
+      | the server         |
+      | the host list      |
+      | the operator       |
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import pytest
 import pytest_bdd
 
 from tests import faults
@@ -17,42 +16,32 @@
 pytest_bdd.scenarios('features/requests.feature')
 
 
-@pytest.fixture(scope='module')
-def deployment():
-    """Give a deployment of four entry hosts in two regions."""
-    with world.WiredDeployment() as found:
-        found.start_all()
-        yield found
-
-
 @pytest_bdd.given(
-    'a deployment under load from two regions', target_fixture='healthy'
+    pytest_bdd.parsers.parse('keys are kept at the {place}'),
 )
-def healthy(deployment):
-    """Bring the deployment back to health after earlier scenarios."""
-    deployment.restore()
-    return deployment
+def keep_keys(deployment, place):
+    """Set where idempotency keys are kept."""
+
+    def change(base):
+        for service in base['services'].values():
+            service['once'] = place
+
+    deployment.change(change)
 
 
 @pytest_bdd.when(
     pytest_bdd.parsers.parse('{first}, while {second}'),
     target_fixture='result',
 )
-def run(healthy, first, second):
+def run(deployment, first, second):
     """Let two faults hit the deployment while callers send."""
 
     async def disturb():
         await asyncio.sleep(1.0)
         both = [faults.faults.get(name) for name in (first, second)]
-        await asyncio.gather(*(fault(healthy) for fault in both))
+        await asyncio.gather(*(fault(deployment) for fault in both))
 
-    return world.run_under_load(healthy, disturb, SECONDS, SEED)
-
-
-@pytest_bdd.then('no invariant about requests is broken')
-def check(result):
-    """Check the callers' history against the servers' records."""
-    assert result.violations == []
+    return world.run_under_load(deployment, disturb, SECONDS, SEED)
 
 
 @pytest_bdd.then('nearly all reads are answered')
@@ -61,3 +50,10 @@
     reads = result.of('GET')
     done = [call for call in reads if call.outcome == 'done']
     assert len(done) >= ANSWERED_SHARE * len(reads)
+
+
+@pytest_bdd.then('some actions are done')
+def check_actions(result):
+    """The proof is not met by refusing everything."""
+    actions = [call for call in result.of('POST') if call.outcome == 'done']
+    assert len(actions) >= 10
--- a/tests/world.py
+++ b/tests/world.py
@@ -61,6 +61,7 @@
     def __init__(self, shape=SHAPE, backend_flags=None, **changes):
         self.shape = shape
         self.plain = sample.make_bundle(shape, **changes)
+        self.first_bundle = self.plain
         self.wires = wire.Wires()
         # The processes listen at the plain addresses; the submitted
         # configuration names those of the wires.
@@ -123,6 +124,18 @@
         self.plain = version.Bundle(json.dumps(base), self.plain.overlays)
         return self.plain
 
+    def change(self, change):
+        """Submit a change of the base; wait until it is in force."""
+        bundle = self.change_base(change)
+        number = self.submit(bundle, self.newest())
+        self.wait_version(number)
+        return number
+
+    def newest(self):
+        """Return the number of the newest accepted version."""
+        rows = launch.fetch(f'{self.platform_url}/_control/state')['rows']
+        return rows['config/current']['number']
+
     def number_in_force(self, name):
         """Return the version in force on an entry host."""
         return self.status(name)['config_version']
@@ -149,6 +162,10 @@
                 self.start_entry(name)
             elif name != 'platform':
                 self.start_backend(name)
+        if self.plain != self.first_bundle:
+            self.plain = self.first_bundle
+            number = self.submit(self.plain, self.newest())
+            self.wait_version(number)
         self.wait_ready()
         for name in self.backend_rows():
             self.backend_faults(
