Add the experiment tool, its baselines and cases; let shifts use the reserve

Cause: nothing told whether the policy is good. Seen on the way: a shift of 30% moved 8%, since the receiving owner counted moved requests as spill and held its reserve back, and one refusal sent them home. Callers of another region are told apart by their block.

--- a/ebonypick/connection/_headers.py
+++ b/ebonypick/connection/_headers.py
@@ -14,6 +14,7 @@
 # Between entry hosts only.
 HOP = 'ebonypick-hop'
 HOP_REGION = 'ebonypick-hop-region'
+HOP_REASON = 'ebonypick-hop-reason'
 AVOID = 'ebonypick-avoid'
 LOAD = 'ebonypick-load'
 BACKEND = 'ebonypick-backend'
--- a/ebonypick/experiment/_fake.py
+++ b/ebonypick/experiment/_fake.py
@@ -83,6 +83,7 @@
     attempts: int = 0
     name: str = ''
     home: str = ''
+    moved_to: str | None = None
 
 
 class Server:
@@ -159,6 +160,9 @@
         self.capacity = collections.Counter()
         for server in self.servers.values():
             self.capacity[server.region] += server.slots
+        self.configured_slots = {
+            name: server.slots for name, server in self.servers.items()
+        }
         self._make_hosts()
         self._start()
 
@@ -204,6 +208,22 @@
     def _link(self, host, home, to):
         return self._links[host, to]
 
+    def lose_hosts(self, names):
+        """Take entry hosts away; the others hear of it later."""
+        self.alive -= set(names)
+
+    def lose_region(self, region):
+        """Take a region's entry hosts and backend servers away."""
+        self.lose_hosts(
+            name
+            for name in self.hosts
+            if self._regions[self._centre(name)] == region
+        )
+        for server in self.servers.values():
+            if server.region == region:
+                server.slots = 0
+                self.leaving |= {server.name}
+
     def relayout(self):
         """Tell all hosts who lives and what leaves."""
         alive = collections.defaultdict(list)
@@ -277,19 +297,24 @@
 
     # Our policy.
 
-    def _offer(self, req, foreign=False):
+    def _offer(self, req, foreign, planned=False):
         name = f'{req.name}.{req.attempts}'
         self._reqs[name] = req
         deadline = req.at + self.work.deadline_s
-        return request.Offer(name, deadline, foreign)
+        return request.Offer(name, deadline, foreign, planned)
 
     def _route(self, req):
         req.attempts += 1
         if req.origin not in self.alive:
             self._end(req, None, False)
             return
+        # Callers of a lost region come to another one's entry hosts.
+        foreign = req.home != self._regions[self._centre(req.origin)]
         arrival = request.Arrival(
-            self._offer(req), frozenset(req.tried), req.attempts == 1
+            self._offer(req, foreign),
+            frozenset(req.tried),
+            req.attempts == 1,
+            moved_to=req.moved_to,
         )
         decision = self.hosts[req.origin].arrive(arrival, self.now)
         self._carry_out(req.origin, decision)
@@ -306,6 +331,8 @@
                 decision.backend,
             )
         elif isinstance(decision, request.Forward):
+            planned = decision.reason == 'shift'
+            req.moved_to = decision.region if planned else None
             way_s = self._way(host, self._centre(decision.owner))
             self.at(self.now + way_s, self._pass_on, req, decision.owner)
         elif isinstance(decision, request.Refused):
@@ -321,9 +348,9 @@
         if owner not in self.alive:
             self._refuse(req, owner)
             return
-        home = self._regions[self._centre(req.origin)]
-        foreign = home != self._regions[self._centre(owner)]
-        arrival = request.Arrival(self._offer(req, foreign), passed=True)
+        foreign = req.home != self._regions[self._centre(owner)]
+        offer = self._offer(req, foreign, req.moved_to is not None)
+        arrival = request.Arrival(offer, passed=True)
         decision = self.hosts[owner].arrive(arrival, self.now)
         self._carry_out(owner, decision)
 
--- /dev/null
+++ b/ebonypick/experiment/main.py
@@ -0,0 +1,82 @@
+"""The command ``ebonypick-bench``: runs cases on the real decision core."""
+
+import pathlib
+
+from absl import app
+from absl import flags
+
+from ebonypick.experiment import _cases
+from ebonypick.experiment import _report
+from ebonypick import version
+
+CONFIG = flags.DEFINE_multi_string(
+    'config',
+    ['examples/skogvottun', 'examples/trailhands'],
+    'Folders of configurations.',
+)
+CASES = flags.DEFINE_list('cases', [], 'Cases to run; all where empty.')
+POLICIES = flags.DEFINE_list(
+    'policies', [], 'Policies to run; all where empty.'
+)
+SECONDS = flags.DEFINE_float('seconds', 10.0, 'Length of a case, virtual.')
+SEED = flags.DEFINE_integer('seed', 1, 'Seed of all random numbers.')
+JSON = flags.DEFINE_string('json', '', 'File for the figures.')
+PLOT = flags.DEFINE_string('plot', '', 'File for the plots, PNG or SVG.')
+
+ANSWER_BYTES = 2_000
+
+
+def load_deployment(folder):
+    """Return the deployment of a folder; its first service is asked for."""
+    bundle = version.read_bundle(folder)
+    cfg = version.build_configuration(bundle)
+    service = next(iter(cfg.base.services))
+    return _cases.Deployment(
+        cfg.base.deployment, bundle, service, ANSWER_BYTES
+    )
+
+
+def run_cases(deployment, names, policies, seed, seconds):
+    """Run cases of a deployment.
+
+    Returns
+    =======
+    list of Outcome
+    """
+    outcomes = []
+    for name in names or _cases.cases.names():
+        all_policies = [_cases.OURS]
+        if name in _cases.FOR_BASELINES:
+            all_policies += _cases.BASELINES
+        for policy in all_policies:
+            if policies and policy not in policies:
+                continue
+            run = _cases.cases.get(name)
+            outcomes.append(run(deployment, policy, seed, seconds))
+    return _report.add_ratios(outcomes)
+
+
+def main(argv):
+    """Run the cases that the flags name."""
+    del argv
+    results = {}
+    for folder in CONFIG.value:
+        deployment = load_deployment(pathlib.Path(folder))
+        results[deployment.name] = run_cases(
+            deployment, CASES.value, POLICIES.value, SEED.value, SECONDS.value
+        )
+        _report.print_table(deployment.name, results[deployment.name])
+    if JSON.value:
+        _report.write_json(JSON.value, results)
+    if PLOT.value:
+        _report.write_plot(PLOT.value, results)
+    return 0
+
+
+def run():
+    """Run the tool; the entry point of ``ebonypick-bench``."""
+    app.run(main)
+
+
+if __name__ == '__main__':
+    run()
--- a/ebonypick/process/__init__.py
+++ b/ebonypick/process/__init__.py
@@ -5,6 +5,7 @@
 from ebonypick.process._membership import Membership
 from ebonypick.process._membership import Message
 from ebonypick.process._membership import rendezvous
+from ebonypick.process._membership import SUSPECT_S
 from ebonypick.process._membership import View
 from ebonypick.process._node import EntryHost
 from ebonypick.process._node import make_entry_host
@@ -20,6 +21,7 @@
     'HostRecord',
     'Membership',
     'Message',
+    'SUSPECT_S',
     'Settings',
     'View',
     'load_settings',
--- a/ebonypick/process/_attempt.py
+++ b/ebonypick/process/_attempt.py
@@ -107,7 +107,11 @@
     async def route(self, tried, avoid, first, moved_to=None):
         """Ask the service's task where the request goes."""
         offer = request.Offer(
-            self.info.req, self.info.deadline, self.info.foreign, avoid
+            self.info.req,
+            self.info.deadline,
+            self.info.foreign,
+            self._intake.planned,
+            avoid,
         )
         return await self._task.route(
             request.Arrival(offer, tried, first, self.info.passed, moved_to)
@@ -204,7 +208,7 @@
                 await stack.aclose()
         return answer
 
-    def _hop_headers(self):
+    def _hop_headers(self, reason):
         names = connection.headers
         remaining_ms = max(1, int(self._remaining_s() * 1000))
         rows = [
@@ -212,7 +216,8 @@
             (names.DEADLINE_MS, str(remaining_ms)),
             (names.REQUEST_ID, self.info.req),
             (names.HOP, self._node.settings.host),
-            (names.HOP_REGION, self._node.settings.region),
+            (names.HOP_REGION, self._intake.home_region),
+            (names.HOP_REASON, reason),
             (names.CONFIG_VERSION, str(self._node.board.number)),
         ]
         if self._intake.avoid:
@@ -235,7 +240,7 @@
                 peer.request(
                     self.info.method,
                     self._path,
-                    self._hop_headers(),
+                    self._hop_headers(forward.reason),
                     self._body.data(pace),
                     fresh=fresh or not self.info.idempotent,
                     timeout_s=self._remaining_s(),
--- a/ebonypick/process/_control.py
+++ b/ebonypick/process/_control.py
@@ -1,7 +1,6 @@
 """The control interfaces: look-ups, status, metrics, and those of peers."""
 
 import dataclasses
-import ipaddress
 import time
 
 import msgspec
@@ -123,13 +122,11 @@
 
 def _client_region(node, client):
     try:
-        ip = ipaddress.ip_address(client)
+        return node.region_of(client)
     except ValueError as exc:
         raise errors.RequestError(
             reason=f'client={client[:60]!r} is no IP number'
         ) from exc
-    found = node.board.blocks.find_int(int(ip), ip.version)
-    return found or node.settings.region
 
 
 @controls.register('/v1/status')
--- a/ebonypick/process/_intake.py
+++ b/ebonypick/process/_intake.py
@@ -26,14 +26,17 @@
         The end-to-end headers.
     avoid : frozenset of str
         Backend servers that an earlier attempt used.
-    hop_region : str or None
-        The region of the entry host that passed it on.
+    home_region : str
+        The region of its caller.
+    planned : bool
+        Whether a shift brought it here.
     """
 
     info: request.RequestInfo
     headers: list
     avoid: frozenset = frozenset()
-    hop_region: str | None = None
+    home_region: str = ''
+    planned: bool = False
 
 
 def parse_deadline_ms(text, default_ms):
@@ -85,7 +88,7 @@
     return key
 
 
-def check_request(req, services, passed, region, now):
+def check_request(req, services, passed, region, client_region, now):
     """Check a caller's request against the configuration in force.
 
     Parameters
@@ -98,6 +101,8 @@
         Whether another entry host passed it on.
     region : str
         The region of this entry host.
+    client_region : str
+        The region of the client's address.
     now : float
         Monotonic seconds.
 
@@ -132,11 +137,13 @@
     key = parse_idempotency_key(
         headers.get(connection.headers.IDEMPOTENCY_KEY)
     )
-    hop_region = None
+    home_region = client_region
+    planned = False
     req_id = secrets.token_hex(12)
     avoid = frozenset()
     if passed:
-        hop_region = headers.get(connection.headers.HOP_REGION)
+        home_region = headers.get(connection.headers.HOP_REGION, region)
+        planned = headers.get(connection.headers.HOP_REASON) == 'shift'
         req_id = headers.get(connection.headers.REQUEST_ID) or req_id
         names = headers.get(connection.headers.AVOID, '')
         avoid = frozenset(n for n in names.split(',') if n)
@@ -147,7 +154,7 @@
         now + deadline_ms / 1000,
         key,
         passed,
-        hop_region is not None and hop_region != region,
+        home_region != region,
     )
     rows = connection.headers.end_to_end(headers.items())
-    return Intake(info, rows, avoid, hop_region)
+    return Intake(info, rows, avoid, home_region, planned)
--- a/ebonypick/process/_membership.py
+++ b/ebonypick/process/_membership.py
@@ -12,8 +12,8 @@
 import xxhash
 
 TICK_S = 0.5
-SUSPECT_S = 2.5
-CENTRE_SUSPECT_S = 3.0
+SUSPECT_S = 2.0
+CENTRE_SUSPECT_S = 2.5
 NEAR_FANOUT = 2
 FAR_FANOUT = 3
 SPEAKERS = 2
--- a/ebonypick/process/_node.py
+++ b/ebonypick/process/_node.py
@@ -199,6 +199,12 @@
         """Return the prefix of idempotency keys issued now."""
         return self.ledger.prefix(time.monotonic())
 
+    def region_of(self, address):
+        """Return the region of a client, this host's own if unknown."""
+        ip = ipaddress.ip_address(address)
+        found = self.board.blocks.find_int(int(ip), ip.version)
+        return found or self.settings.region
+
     async def pace(self, region, size):
         """Wait until bytes may go over the link to a region."""
         link = self._links.get(region)
--- a/ebonypick/process/_relay.py
+++ b/ebonypick/process/_relay.py
@@ -65,6 +65,7 @@
             cfg.base.services,
             self._passed,
             self._node.settings.region,
+            self._node.region_of(self._req.client),
             self._started_at,
         )
         name = self._intake.info.service
@@ -181,6 +182,7 @@
         fresh = hedge
         retry_after_s = None
         reason = 'no-backend'
+        moved_to = None
         for turn in range(ATTEMPTS_MOST):
             self._attempts += 1
             attempt = _attempt.Attempt(
@@ -192,7 +194,7 @@
             )
             first = turn == 0 and not hedge
             decision = await attempt.route(
-                frozenset(tried), frozenset(avoid), first
+                frozenset(tried), frozenset(avoid), first, moved_to
             )
             if isinstance(decision, request.Refused):
                 if decision.reason != 'no-backend':
@@ -203,6 +205,7 @@
             if not hedge:
                 self._first_source = _source(decision)
                 self._sent_at = time.monotonic()
+            moved_to = _moved_to(decision)
             answer = await attempt.send(decision, fresh)
             if answer.outcome is request.Outcome.DONE:
                 return answer
@@ -345,8 +348,8 @@
     async def _write(self, part):
         if not part:
             return
-        if self._intake.info.foreign:
-            await self._node.pace(self._intake.hop_region, len(part))
+        if self._passed and self._intake.info.foreign:
+            await self._node.pace(self._intake.home_region, len(part))
         await self._req.write(part)
 
 
@@ -356,6 +359,13 @@
     return decision.owner
 
 
+def _moved_to(decision):
+    """Return the region that a shift moves a request to, or None."""
+    if isinstance(decision, request.Forward) and decision.reason == 'shift':
+        return decision.region
+    return None
+
+
 def _content_length(answer):
     for name, value in answer.headers:
         if name.lower() == 'content-length':
--- a/ebonypick/request/_dispatcher.py
+++ b/ebonypick/request/_dispatcher.py
@@ -206,6 +206,8 @@
         offer = arrival.offer
         tried = set(arrival.tried)
         refused = None
+        if self._own_slot_is_best(offer, tried, region_allowed, now):
+            return self.owner.offer(offer, now)
         while True:
             targets = [
                 target
@@ -223,6 +225,16 @@
             refused = decision
             tried.add(self.host)
 
+    def _own_slot_is_best(self, offer, tried, region_allowed, now):
+        """Return whether no other owner needs to be looked at."""
+        return (
+            self._policy.own_free_slot_is_best
+            and self.host not in tried
+            and not offer.foreign
+            and region_allowed(self.region)
+            and self.owner.load(now).free > 0
+        )
+
     def _refuse_all(self, offer, tried, now):
         reason = 'full' if tried else 'no-backend'
         load = self.owner.load(now)
--- a/ebonypick/request/_owner.py
+++ b/ebonypick/request/_owner.py
@@ -50,6 +50,9 @@
         On the clock of ``now``, in seconds.
     foreign : bool
         Whether it comes from another region.
+    planned : bool
+        Whether a shift brings it from there: then the reserve does not
+        hold it off, but it never waits in the queue either.
     avoid : frozenset of str
         Backend servers that it gets only where no other is free.
     """
@@ -57,6 +60,7 @@
     req: str
     deadline: float
     foreign: bool = False
+    planned: bool = False
     avoid: frozenset = frozenset()
 
 
@@ -319,7 +323,8 @@
         if load.capacity == 0:
             return Refused(offer.req, 'no-backend', 1.0)
         if offer.foreign:
-            kept = math.ceil(self.settings.reserve_share * load.capacity)
+            share = 0 if offer.planned else self.settings.reserve_share
+            kept = math.ceil(share * load.capacity)
             if load.free - load.queued <= kept:
                 return Refused(offer.req, 'reserve', self._wait_s(load))
         server = self._best(offer.avoid) if load.free else None
--- a/ebonypick/request/_policy.py
+++ b/ebonypick/request/_policy.py
@@ -11,6 +11,23 @@
 policies = registry.Registry('policy')
 
 
+class Policy:
+    """What all policies share.
+
+    Parameters
+    ==========
+    rng : random.Random
+        Breaks ties, so that hosts do not all choose the same.
+    """
+
+    # Whether a free slot of the host itself is always the choice, so that
+    # the other owners need not be looked at.
+    own_free_slot_is_best = False
+
+    def __init__(self, rng):
+        self._rng = rng
+
+
 @dataclasses.dataclass(frozen=True)
 class Target:
     """Where a request may go.
@@ -62,17 +79,10 @@
 
 
 @policies.register('latency')
-class LatencyPolicy:
-    """Chooses the target with the least expected time to a slot.
-
-    Parameters
-    ==========
-    rng : random.Random
-        Breaks ties, so that hosts do not all choose the same.
-    """
+class LatencyPolicy(Policy):
+    """Chooses the target with the least expected time to a slot."""
 
-    def __init__(self, rng):
-        self._rng = rng
+    own_free_slot_is_best = True
 
     def choose(self, targets, service_s):
         """Return one of the targets."""
@@ -86,16 +96,13 @@
 
 
 @policies.register('headroom')
-class HeadroomPolicy:
+class HeadroomPolicy(Policy):
     """Chooses the target with the largest free share, near ones first.
 
     Links between regions are used only where the own region has no slot
     free and its queue costs more than the way.
     """
 
-    def __init__(self, rng):
-        self._rng = rng
-
     def choose(self, targets, service_s):
         """Return one of the targets."""
 
@@ -117,22 +124,20 @@
 
 
 @policies.register('random')
-class RandomPolicy:
+class RandomPolicy(Policy):
     """Baseline: any target with equal chance."""
 
-    def __init__(self, rng):
-        self._rng = rng
-
     def choose(self, targets, service_s):
         """Return one of the targets."""
         return self._rng.choice(targets)
 
 
 @policies.register('round-robin')
-class RoundRobinPolicy:
+class RoundRobinPolicy(Policy):
     """Baseline: one target after the other."""
 
     def __init__(self, rng):
+        super().__init__(rng)
         self._next = rng.randrange(1000)
 
     def choose(self, targets, service_s):
@@ -142,12 +147,9 @@
 
 
 @policies.register('two-choices')
-class TwoChoicesPolicy:
+class TwoChoicesPolicy(Policy):
     """Baseline: the better of two at random, by the reports as they are."""
 
-    def __init__(self, rng):
-        self._rng = rng
-
     def choose(self, targets, service_s):
         """Return one of the targets."""
         one = self._rng.choice(targets)
@@ -156,12 +158,9 @@
 
 
 @policies.register('fixed-shares')
-class FixedSharesPolicy:
+class FixedSharesPolicy(Policy):
     """Baseline: chance in proportion to capacity."""
 
-    def __init__(self, rng):
-        self._rng = rng
-
     def choose(self, targets, service_s):
         """Return one of the targets."""
         weights = [max(1, target.capacity) for target in targets]
--- a/ebonypick/request/tests/test_owner.py
+++ b/ebonypick/request/tests/test_owner.py
@@ -59,7 +59,9 @@
         req = f'r{self.count}'
         before = self.owner.load(self.now)
         decision = self.owner.offer(
-            request.Offer(req, self.now + left_s, foreign, frozenset(avoid)),
+            request.Offer(
+                req, self.now + left_s, foreign, avoid=frozenset(avoid)
+            ),
             self.now,
         )
         if isinstance(decision, request.Queued):
@@ -199,6 +201,19 @@
     assert owner.load(3.0).capacity == 0
 
 
+def test_planned_shift_uses_the_reserve_but_never_the_queue():
+    """Operators move traffic on purpose; own callers keep the queue."""
+    owner = request.SlotOwner(request.OwnerSettings(reserve_share=0.5))
+    owner.update({'b1': 2}, 0.0)
+    owner.offer(request.Offer('own', 9.0), 0.0)
+    spill = owner.offer(request.Offer('spill', 9.0, True), 0.0)
+    assert isinstance(spill, request.Refused)
+    moved = owner.offer(request.Offer('moved', 9.0, True, True), 0.0)
+    assert isinstance(moved, request.Placed)
+    more = owner.offer(request.Offer('more', 9.0, True, True), 0.0)
+    assert isinstance(more, request.Refused)
+
+
 def test_sheds_lower_the_limit_and_successes_raise_it_again():
     """The limit adapts where another owner uses the same slots."""
     owner = request.SlotOwner(request.OwnerSettings())
