Prove limits, silent connections and bad input on real processes

Cause: shifts, a rush, a lost region, silence on each hop and bad input had no test on real processes. Found and mended: a refused upload kept its connection open until all announced bytes came (the rest is read for 1 s or 4 MiB now, then the connection is broken); a method that is not passed on had no code of its own (EP2011).

--- a/ebonypick/caller/_client.py
+++ b/ebonypick/caller/_client.py
@@ -131,7 +131,7 @@
 
     def __init__(self, bootstrap, client=None, local_address=None, rng=None):
         self._bootstrap = list(bootstrap)
-        self._client = client
+        self.client = client
         self._local = local_address
         self._rng = rng or random.Random()
         self._pools = {}
@@ -199,8 +199,8 @@
 
     async def _ask(self, end, service):
         path = f'/v1/entry-hosts?service={service}'
-        if self._client:
-            path += f'&client={self._client}'
+        if self.client:
+            path += f'&client={self.client}'
         pool = await self._pool(end.address, end.port)
         self.lookups_made += 1
         try:
--- a/ebonypick/connection/_caller_http.py
+++ b/ebonypick/connection/_caller_http.py
@@ -16,6 +16,8 @@
 IDLE_TIMEOUT_S = 30
 # Deadlines and body limits are the services', so the server's are off.
 NO_LIMIT = 1 << 40
+DRAIN_S = 1.0
+DRAIN_BYTES = 4 << 20
 PROBLEM_TYPE = 'application/problem+json'
 
 
@@ -169,9 +171,13 @@
     return body, headers
 
 
-def _as_error(exc):
+def _as_error(exc, method):
     if isinstance(exc, errors.EbonypickError):
         return exc
+    if isinstance(exc, sanic.exceptions.MethodNotAllowed):
+        return errors.MethodNotAllowedError(
+            method=method[:20], known=', '.join(METHODS)
+        )
     if isinstance(exc, sanic.exceptions.PayloadTooLarge):
         return errors.HeadTooLargeError(
             part='head', found='too many', limit=HEAD_LIMIT_BYTES
@@ -183,6 +189,25 @@
     return errors.EbonypickError()
 
 
+async def _drain(inner):
+    """Read the rest of a body that was not wanted, within bounds.
+
+    The answer is out. A caller that goes on sending is given a moment to
+    read it, then the connection is broken: nothing else can follow on it.
+    """
+    stream = inner.stream
+    left = DRAIN_BYTES
+    try:
+        async with asyncio.timeout(DRAIN_S):
+            while left > 0 and stream is not None and stream.request_body:
+                part = await stream.read()
+                left -= len(part) if part else 0
+    except (TimeoutError, sanic.exceptions.SanicException):
+        left = 0
+    if left <= 0 and inner.transport is not None:
+        inner.transport.abort()
+
+
 @_adapters.caller_adapters.register('http')
 class CallerServer:
     """The server for callers; an async context manager.
@@ -218,9 +243,10 @@
 
         async def handle(inner, path=''):
             await self._handler(CallerRequest(inner))
+            await _drain(inner)
 
         async def fail(inner, exc):
-            error = _as_error(exc)
+            error = _as_error(exc, inner.method or '')
             body, headers = problem(error)
             return sanic.response.raw(
                 body,
--- a/ebonypick/errors.py
+++ b/ebonypick/errors.py
@@ -148,6 +148,15 @@
     remedy = 'Ask again with the same key after the time in Retry-After.'
 
 
+class MethodNotAllowedError(RequestError):
+    """The HTTP method is not one that is passed on."""
+
+    code = 'EP2011'
+    status = 405
+    message = 'The method {method!r} is not passed on.'
+    remedy = 'Use one of: {known}.'
+
+
 class ServingError(EbonypickError):
     """A valid request could not be served now."""
 
--- a/standins/history.py
+++ b/standins/history.py
@@ -36,6 +36,8 @@
         Its idempotency key.
     started_at, ended_at : float
         Seconds since the epoch.
+    client : str
+        The address that it was looked up for.
     """
 
     mark: str
@@ -49,6 +51,7 @@
     key: str | None
     started_at: float
     ended_at: float
+    client: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
--- a/standins/load.py
+++ b/standins/load.py
@@ -112,6 +112,7 @@
                 answer.key,
                 started_at,
                 time.time(),
+                caller.client,
             )
         )
 
--- a/standins/wire.py
+++ b/standins/wire.py
@@ -121,13 +121,31 @@
 
         self._call(change())
 
-    def silence(self, name):
-        """Make the open connections silent for good; new ones work."""
+    def silence(self, name, chosen=lambda source: True):
+        """Make open connections silent for good; new ones work.
+
+        Parameters
+        ==========
+        name : str
+            The wire.
+        chosen : callable
+            Tells from a connection's source whether it is meant.
+
+        Returns
+        =======
+        int
+            How many went silent now.
+        """
 
         async def change():
-            for conn in self._wires[name].conns:
+            conns = [
+                conn
+                for conn in self._wires[name].conns
+                if chosen(conn.source) and not conn.silent
+            ]
+            for conn in conns:
                 conn.silent = True
-            return len(self._wires[name].conns)
+            return len(conns)
 
         return self._call(change())
 
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,77 @@
+"""Silent connections on each hop of real processes."""
+
+import asyncio
+
+import pytest_bdd
+
+from tests import world
+
+SEED = 41
+LONGEST_S = 1.0
+TIMES = 3
+
+pytest_bdd.scenarios('features/silence.feature')
+
+
+def _is_peer(deployment):
+    addresses = {deployment.address(n) for n in deployment.cfg.entry_hosts()}
+    return lambda source: source in addresses
+
+
+def _silence(deployment, hop):
+    """Silence the hop's open connections; return how many there were."""
+    hosts = list(deployment.cfg.entry_hosts())
+    is_peer = _is_peer(deployment)
+    if hop == 'callers to entry hosts':
+        wires, chosen = hosts, lambda source: not is_peer(source)
+    elif hop == 'entry hosts to entry hosts':
+        wires, chosen = hosts, is_peer
+    elif hop == 'entry hosts to servers':
+        wires, chosen = list(deployment.backend_rows()), is_peer
+    else:
+        wires, chosen = ['platform'], is_peer
+    return sum(deployment.wires.silence(name, chosen) for name in wires)
+
+
+@pytest_bdd.when(
+    pytest_bdd.parsers.parse(
+        'callers read while the open connections of {hop} go silent'
+    ),
+    target_fixture='result',
+)
+def read_through_silence(deployment, hop):
+    """Read steadily, and silence the hop a few times."""
+    if hop == 'entry hosts to entry hosts':
+        _drain_first_region(deployment)
+    silenced = []
+
+    async def disturb():
+        for _ in range(TIMES):
+            await asyncio.sleep(1.5)
+            count = await world.in_thread(_silence, deployment, hop)
+            silenced.append(count)
+
+    def plan(run):
+        return [(1.0, lambda c: run.read(c, 'registry'))]
+
+    result = world.run_under_load(deployment, disturb, 6.0, SEED, 0.02, plan)
+    if hop != 'entry hosts to the platform':
+        assert sum(silenced) > 0
+    return result
+
+
+def _drain_first_region(deployment):
+    """Make the entry hosts of r1 pass all requests on to r2."""
+    names = [n for n in deployment.backend_rows() if n.startswith('r1')]
+
+    def change(base):
+        base['drains'] = {'backend_servers': names}
+
+    deployment.change(change)
+
+
+@pytest_bdd.then('no read took longer than 1 second')
+def check_times(result):
+    """The bound is the stated one, over all reads of the run."""
+    times = [c.ended_at - c.started_at for c in result.of('GET')]
+    assert max(times) <= LONGEST_S
