--- /dev/null
+++ b/bin/prove_needed.py
@@ -0,0 +1,197 @@
+"""Takes each mechanism away in a copy and shows that its proof fails.
+
+A proof that passes without its mechanism proves nothing. Prints one line
+for each mechanism and returns 1 where a proof passed without it.
+"""
+
+import dataclasses
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).parent.parent
+LONGEST_S = 240
+
+
+@dataclasses.dataclass(frozen=True)
+class Cut:
+    """A mechanism, how to take it away, and the tests that must fail."""
+
+    invariant: str
+    mechanism: str
+    file: str
+    old: str
+    new: str
+    tests: tuple
+
+
+CUTS = (
+    Cut(
+        'shift cap',
+        'credit starts at nothing',
+        'ebonypick/request/_budget.py',
+        'self._credit = 0\n',
+        'self._credit = self.WHOLE - 1\n',
+        ('ebonypick/request/tests/test_budget.py',),
+    ),
+    Cut(
+        'shift cap',
+        'spill keeps off the way of a shift',
+        'ebonypick/request/_dispatcher.py',
+        'lambda r: r not in capped',
+        'lambda r: True',
+        ('ebonypick/request/tests/test_dispatcher.py',),
+    ),
+    Cut(
+        'no overload',
+        'exact count of slots',
+        'ebonypick/request/_owner.py',
+        'return max(0, self.room - len(self.held))',
+        'return self.room',
+        ('ebonypick/request/tests/test_owner.py',),
+    ),
+    Cut(
+        'no overload',
+        'reserve of a region',
+        'ebonypick/request/_owner.py',
+        'kept = math.ceil(share * load.capacity)',
+        'kept = 0',
+        ('ebonypick/request/tests/test_owner.py',),
+    ),
+    Cut(
+        'whole answers',
+        'echo of the request id',
+        'ebonypick/connection/_backend_http.py',
+        'if found != info.req:',
+        'if False:',
+        ('tests/test_requests.py', '-k', 'mixed'),
+    ),
+    Cut(
+        'not-run is true',
+        'a lost answer is unknown',
+        'ebonypick/request/_outcome.py',
+        'if self in (Result.SHED, Result.CONNECT_FAILED):',
+        'if self is not Result.DONE:',
+        ('ebonypick/request/tests/test_outcome.py',),
+    ),
+    Cut(
+        'at most once',
+        'no second send after unknown',
+        'ebonypick/process/_relay.py',
+        'if late or not info.idempotent or not self._body.repeatable:',
+        'if late:',
+        ('tests/test_requests.py', '-k', 'reset'),
+    ),
+    Cut(
+        'at most once',
+        'claim of the key',
+        'ebonypick/request/_once.py',
+        'return Granted() if entry.holder == holder else Running()',
+        'return Granted()',
+        ('ebonypick/request/tests/test_once.py',),
+    ),
+    Cut(
+        'leaving servers',
+        "the server's own word",
+        'ebonypick/request/_owner.py',
+        'server.says_leaving = report.leaving',
+        'server.says_leaving = False',
+        ('tests/test_stops.py', '-k', 'the_server or server'),
+    ),
+    Cut(
+        'planned stop',
+        'waiting out the look-up answers and the requests',
+        'ebonypick/process/_node.py',
+        '        await self._server.stop_listening()\n        give_up_at',
+        '        return\n        give_up_at',
+        ('tests/test_stops.py', '-k', 'stop_while'),
+    ),
+    Cut(
+        'never reverts',
+        'only higher numbers are taken',
+        'ebonypick/version/_holder.py',
+        'if version.number <= self.number:',
+        'if version.number == self.number:',
+        ('ebonypick/version/tests/test_holder.py',),
+    ),
+    Cut(
+        'in force everywhere',
+        'fetching from peers',
+        'ebonypick/process/_reader.py',
+        'if self._holder.behind:',
+        'if False:',
+        ('tests/test_configuration.py', '-k', 'starts_while'),
+    ),
+    Cut(
+        'truthful submission',
+        'reading back after a lost reply',
+        'ebonypick/version/_submit.py',
+        'if found.submission == self.row.submission:',
+        'if False:',
+        ('ebonypick/version/tests/test_submit.py',),
+    ),
+    Cut(
+        'silent connections',
+        'a second try on a fresh connection',
+        'ebonypick/process/_relay.py',
+        'if not first.done() and self._may_hedge():',
+        'if False:',
+        ('tests/test_silence.py', '-k', 'servers'),
+    ),
+)
+
+
+def _copy(folder):
+    names = subprocess.run(
+        ['git', 'ls-files', '-co', '--exclude-standard'],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+    ).stdout.splitlines()
+    for name in names:
+        target = folder / name
+        target.parent.mkdir(parents=True, exist_ok=True)
+        if (ROOT / name).exists():
+            shutil.copy(ROOT / name, target)
+
+
+def _fails_without(cut):
+    """Return whether the tests fail once the mechanism is gone."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        _copy(folder)
+        path = folder / cut.file
+        text = path.read_text()
+        if text.count(cut.old) != 1:
+            raise LookupError(f'{cut.file}: {cut.old!r} is not there once')
+        path.write_text(text.replace(cut.old, cut.new))
+        done = subprocess.run(
+            [sys.executable, '-m', 'pytest', '-x', '-q', *cut.tests],
+            cwd=folder,
+            capture_output=True,
+            text=True,
+            timeout=LONGEST_S,
+        )
+        # 1: some tests failed. Any other code is an error of the run.
+        if done.returncode not in (0, 1):
+            raise RuntimeError(done.stdout[-500:])
+        return done.returncode == 1
+
+
+def main():
+    """Take each mechanism away in turn."""
+    useless = 0
+    for cut in CUTS:
+        fails = _fails_without(cut)
+        useless += not fails
+        word = 'fails without' if fails else 'PASSES WITHOUT'
+        print(f'{cut.invariant}: {word}: {cut.mechanism}', flush=True)
+    print(f'{len(CUTS) - useless} passed, {useless} failed')
+    return 1 if useless else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/ebonypick/process/_control.py
+++ b/ebonypick/process/_control.py
@@ -86,9 +86,14 @@
     return Reply(200, node.metrics.render(), list(TEXT))
 
 
-@controls.register('/v1/entry-hosts')
-async def entry_hosts(node, req):
-    """Answer a look-up."""
+def _look_up(node, req):
+    """Return service, client, region and choices of a look-up.
+
+    Raises
+    ======
+    errors.NotReadyError, errors.RequestError
+        If it cannot be answered.
+    """
     reason = node.not_ready_reason()
     if reason is not None and not node.board.leaving:
         raise errors.NotReadyError(reason=reason)
@@ -101,9 +106,15 @@
         )
     client = req.query.get('client', req.client)
     region = _client_region(node, client)
-    found = request.look_up(
-        cfg, board.view, region, node.layouts[service].places
-    )
+    places = node.layouts[service].places
+    found = request.look_up(cfg, board.view, region, places)
+    return service, client, region, found
+
+
+@controls.register('/v1/entry-hosts')
+async def entry_hosts(node, req):
+    """Answer a look-up."""
+    service, client, region, found = _look_up(node, req)
     node.metrics.lookups.inc()
     events.LOOKUP.log(
         client=client, region=region, hosts=[item.name for item in found]
@@ -113,13 +124,44 @@
             'service': service,
             'region': region,
             'entry_hosts': found,
-            'config_version': board.number,
-            'ttl_ms': cfg.base.lookup_ttl_ms,
+            'config_version': node.board.number,
+            'ttl_ms': node.board.version.cfg.base.lookup_ttl_ms,
             'key_prefix': node.key_prefix(),
         }
     )
 
 
+@controls.register('/v1/explain-route')
+async def explain_route(node, req):
+    """Tell where a request would go, and what it was weighed against."""
+    service, _, region, found = _look_up(node, req)
+    targets, chosen = await node.services[service].explain()
+    service_s = node.board.version.cfg.base.services[service].service_ms / 1e3
+    rows = [
+        {
+            'name': target.name,
+            'region': target.region,
+            'free': round(target.free, 1),
+            'queued': target.queued,
+            'capacity': target.capacity,
+            'expected_ms': round(
+                request.expected_s(target, service_s) * 1000, 3
+            ),
+        }
+        for target in targets
+    ]
+    return _json(
+        {
+            'host': node.host,
+            'region': region,
+            'entry_hosts': found,
+            'targets': rows,
+            'policy': node.board.version.cfg.base.services[service].objective,
+            'chosen': chosen,
+        }
+    )
+
+
 def _client_region(node, client):
     try:
         return node.region_of(client)
--- a/ebonypick/process/_service.py
+++ b/ebonypick/process/_service.py
@@ -66,6 +66,13 @@
     report: request.Report | None
 
 
+@dataclasses.dataclass(frozen=True)
+class Explain:
+    """Tell the targets as they are seen; the future gets them."""
+
+    fut: asyncio.Future
+
+
 @dataclasses.dataclass(frozen=True)
 class Tick:
     """Time passed."""
@@ -98,6 +105,7 @@
             Update: self._update,
             HearLoad: self._hear_load,
             Probed: self._probed,
+            Explain: self._explain,
             Tick: self._tick,
         }
 
@@ -116,6 +124,15 @@
             self.inbox.put_nowait(Cancel(arrival.offer.req))
             raise
 
+    async def explain(self):
+        """Return the dispatcher's targets and the one it would choose."""
+        fut = asyncio.get_running_loop().create_future()
+        self.inbox.put_nowait(Explain(fut))
+        return await fut
+
+    def _explain(self, message, now):
+        message.fut.set_result(self._dispatcher.explain(now))
+
     def tell(self, message):
         """Send a message that needs no answer."""
         self.inbox.put_nowait(message)
--- a/ebonypick/request/__init__.py
+++ b/ebonypick/request/__init__.py
@@ -31,6 +31,7 @@
 from ebonypick.request._owner import Refused
 from ebonypick.request._owner import Report
 from ebonypick.request._owner import SlotOwner
+from ebonypick.request._policy import expected_s
 from ebonypick.request._policy import make_policy
 from ebonypick.request._policy import policies
 from ebonypick.request._policy import Target
@@ -65,6 +66,7 @@
     'ShiftCredit',
     'SlotOwner',
     'Target',
+    'expected_s',
     'look_up',
     'make_policy',
     'may_send_again',
--- a/ebonypick/request/_dispatcher.py
+++ b/ebonypick/request/_dispatcher.py
@@ -283,6 +283,22 @@
             link_wait_s,
         )
 
+    def explain(self, now):
+        """Return the targets as they are seen now, and the one chosen.
+
+        Returns
+        =======
+        targets : list of Target
+            All owners of slots.
+        chosen : str or None
+            The owner that a request would go to now.
+        """
+        targets = self._targets(now)
+        if not targets:
+            return targets, None
+        chosen = self._policy.choose(targets, self.owner.service_s)
+        return targets, chosen.name
+
     def forward_ended(self, req, owner, now):
         """Note that a request sent to another owner was answered."""
         if self._forwards.pop((req, owner), None) and self._sent[owner] > 0:
--- a/ebonypick/version/__init__.py
+++ b/ebonypick/version/__init__.py
@@ -6,6 +6,7 @@
 from ebonypick.version._check import Bundle
 from ebonypick.version._check import parse_time
 from ebonypick.version._convert import convert
+from ebonypick.version._edit import set_value
 from ebonypick.version._files import read_bundle
 from ebonypick.version._holder import apply_delta
 from ebonypick.version._holder import bundle_digest
@@ -25,6 +26,9 @@
 from ebonypick.version._model import Port
 from ebonypick.version._model import Service
 from ebonypick.version._model import Shift
+from ebonypick.version._origin import differing_values
+from ebonypick.version._origin import effective_values
+from ebonypick.version._origin import Origin
 from ebonypick.version._parse import parse_source
 from ebonypick.version._parse import read_source
 from ebonypick.version._shift import allowed_share
@@ -51,6 +55,7 @@
     'Delta',
     'EMPTY_BUNDLE',
     'Holder',
+    'Origin',
     'Overlay',
     'Port',
     'PutObject',
@@ -68,6 +73,8 @@
     'changed_paths',
     'convert',
     'decode_bundle',
+    'differing_values',
+    'effective_values',
     'encode_bundle',
     'make_block_table',
     'make_delta',
@@ -78,4 +85,5 @@
     'parse_time',
     'read_bundle',
     'read_source',
+    'set_value',
 )
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -189,8 +189,10 @@
         await self._answer(req, identity, digest.hexdigest(), size)
 
     async def _answer(self, req, identity, digest, size):
+        target = req.target
         if self._take_fault('foreign'):
             identity = ('someone-elses', *identity[1:])
+            target = '/items/someone-elses'
         headers = [('x-request-id', identity[0]), *JSON]
         if req.method == 'GET' and req.path.startswith('/blob/'):
             await self._blob(req, headers, int(req.path.split('/')[2]))
@@ -199,7 +201,7 @@
             {
                 'server': NAME.value,
                 'method': req.method,
-                'target': req.target,
+                'target': target,
                 'bytes': size,
                 'sha256': digest,
             }
