--- a/ebonypick/process/_node.py
+++ b/ebonypick/process/_node.py
@@ -28,6 +28,7 @@
 from ebonypick import version
 
 HOST_LIST_INTERVAL_S = 1.0
+HOST_LIST_READS_PER_S = 500
 RELAYOUT_S = 0.5
 STOP_LONGEST_S = 120.0
 # Part of a link's limit that the entry hosts share among them; the rest is
@@ -52,6 +53,7 @@
         self.metrics = _metrics.Metrics()
         self.services = {}
         self.layouts = {}
+        self._told = {}
         self.backends = {}
         self.peers = {}
         self.seeds = {}
@@ -135,11 +137,7 @@
         self.tasks.start(keep('gossip', self.gossip.run))
         self.tasks.start(keep('config', self.reader.run))
         self.tasks.start(keep('layout', self._follow_board))
-        self.tasks.start(
-            _tasks.every(
-                HOST_LIST_INTERVAL_S, 'host list', self._read_host_list
-            )
-        )
+        self.tasks.start(keep('host list', self._follow_host_list))
 
     def _peer_pool(self, address, port):
         return connection.Pool(address, port, self.settings.address)
@@ -329,6 +327,17 @@
             links[other] = request.LinkBudget(part, part * LINK_BURST_S)
         self._links = links
 
+    async def _follow_host_list(self):
+        while True:
+            await self._read_host_list()
+            hosts = 1
+            if self.board.version is not None:
+                hosts = len(self.board.version.cfg.entry_hosts())
+            # All hosts together must not ask more often than it bears.
+            await asyncio.sleep(
+                max(HOST_LIST_INTERVAL_S, hosts / HOST_LIST_READS_PER_S)
+            )
+
     async def _read_host_list(self):
         try:
             found = await self._host_list.leaving()
@@ -341,14 +350,24 @@
     # The layout: what follows from the configuration and the members.
 
     async def _follow_board(self):
+        laid_out = None
         while True:
             try:
                 async with asyncio.timeout(RELAYOUT_S):
                     await self.board.changed()
             except TimeoutError:
                 pass
-            if self.board.version is not None:
-                await self._lay_out(self.board.version.cfg)
+            board = self.board
+            if board.version is None:
+                continue
+            basis = (board.version, board.view, board.leaving_hosts)
+            if laid_out is None or any(
+                old is not new for old, new in zip(laid_out, basis)
+            ):
+                await self._lay_out(board.version.cfg)
+                laid_out = basis
+            for service, layout in self.layouts.items():
+                self._tell_loads(service, layout, self.services[service])
 
     async def _lay_out(self, cfg):
         await self._open_peers(cfg)
@@ -366,22 +385,29 @@
             owned.update(dict.fromkeys(layout.backends, service))
         for service in set(self.services) - set(cfg.base.services):
             del self.services[service]
+            del self.layouts[service]
+            del self._told[service]
         self._prober.update(owned)
 
     def _tell_service(self, cfg, service, layout):
+        """Tell a service's task what changed for it, if anything did."""
         settings = self._owner_settings(cfg, service)
+        objective = cfg.base.services[service].objective
         task = self.services.get(service) or self._start_service(
             cfg, service, settings
         )
-        if self.layouts.get(service) != layout:
-            old = self.layouts.get(service)
-            if old is None or old.backends != layout.backends:
-                events.OWNERSHIP_CHANGED.log(
-                    service=service, backends=sorted(layout.backends)
-                )
-            self.layouts[service] = layout
-            task.tell(_service.Update(layout, settings))
-        self._tell_loads(service, layout, task)
+        told = (layout, settings, objective)
+        if self._told.get(service) == told:
+            return
+        old = self.layouts.get(service)
+        if old is None or old.backends != layout.backends:
+            events.OWNERSHIP_CHANGED.log(
+                service=service, backends=sorted(layout.backends)
+            )
+        self._told[service] = told
+        self.layouts[service] = layout
+        policy = request.make_policy(objective, self._rng)
+        task.tell(_service.Update(layout, settings, policy))
 
     def _tell_loads(self, service, layout, task):
         hosts, centres = self.gossip.loads_of(service)
--- a/ebonypick/process/_service.py
+++ b/ebonypick/process/_service.py
@@ -50,6 +50,7 @@
 
     layout: request.Layout
     settings: request.OwnerSettings
+    policy: object
 
 
 @dataclasses.dataclass(frozen=True)
@@ -223,7 +224,9 @@
             self._resolve(done)
 
     def _update(self, message, now):
-        done = self._dispatcher.update(message.layout, now, message.settings)
+        done = self._dispatcher.update(
+            message.layout, now, message.settings, message.policy
+        )
         self._resolve(done)
 
     def _hear_load(self, message, now):
--- a/ebonypick/process/_tasks.py
+++ b/ebonypick/process/_tasks.py
@@ -21,18 +21,6 @@
         await asyncio.sleep(RESTART_PAUSE_S)
 
 
-async def every(interval_s, name, work):
-    """Run a coroutine function at an interval, and log its failures."""
-    while True:
-        try:
-            await work()
-        except asyncio.CancelledError:
-            raise
-        except Exception as exc:
-            events.TASK_FAILED.log(task=name, why=f'{exc!r}')
-        await asyncio.sleep(interval_s)
-
-
 class TaskGroup:
     """Tasks that end with their owner; an async context manager."""
 
--- a/ebonypick/request/_dispatcher.py
+++ b/ebonypick/request/_dispatcher.py
@@ -154,10 +154,12 @@
         self._forwards = {}
         self._credits = {}
 
-    def update(self, layout, now, settings=None):
+    def update(self, layout, now, settings=None, policy=None):
         """Take in a new layout; return what it does to waiting requests."""
         if settings is not None:
             self.owner.settings = settings
+        if policy is not None:
+            self._policy = policy
         names = {name for name, _ in layout.shifts}
         self._credits = {
             name: self._credits.get(name) or _budget.ShiftCredit()
--- a/ebonypick/request/tests/test_dispatcher.py
+++ b/ebonypick/request/tests/test_dispatcher.py
@@ -70,6 +70,21 @@
     assert owners == {None}
 
 
+def test_new_settings_and_policy_are_in_force_at_once():
+    """A changed configuration does not wait for a new layout."""
+    found = _dispatcher((HOME,), {'b1': 1})
+    layout = request.Layout((HOME,), {'b1': 1})
+    settings = request.OwnerSettings(service_s=0.5, queue_wait_s=0.1)
+    policy = request.make_policy('headroom', random.Random(1))
+    found.arrive(_arrival('r0'), 0.0)
+    found.update(layout, 0.0, settings, policy)
+    decision = found.arrive(_arrival('r1'), 0.0)
+    assert isinstance(decision, request.Queued)
+    assert found.owner.settings.queue_wait_s == 0.1
+    _, chosen = found.explain(0.0)
+    assert chosen == 'e1'
+
+
 def test_refusals_end_in_a_refusal():
     """With all owners tried, the answer says when to come back."""
     found = _dispatcher((NEAR, FAR), {})
