--- a/bench/path.py
+++ b/bench/path.py
@@ -115,7 +115,7 @@
     found = deployment.bootstrap()
     async with caller.make_caller(found) as item:
         for _ in range(REQUESTS.value // 3):
-            item._lookups.clear()
+            item._hosts._known.clear()
             started_at = time.perf_counter()
             await item.look_up('registry')
             times.append(time.perf_counter() - started_at)
--- a/bin/prove_needed.py
+++ b/bin/prove_needed.py
@@ -60,7 +60,7 @@
     Cut(
         'no overload',
         'exact count of slots',
-        'ebonypick/request/_owner.py',
+        'ebonypick/request/_slots.py',
         'return max(0, self.room - len(self.held))',
         'return self.room',
         ('ebonypick/request/tests/test_owner.py',),
--- a/ebonypick/caller/_client.py
+++ b/ebonypick/caller/_client.py
@@ -9,12 +9,12 @@
 import aiohttp
 import msgspec
 
+from ebonypick.caller import _lookups
+from ebonypick.caller import _pools
 from ebonypick import connection
 from ebonypick import request
 
-LOOKUP_TIMEOUT_S = 0.6
 HEDGE_AFTER_S = 0.35
-FAILED_HOST_S = 1.0
 SENDS_MOST = 12
 PAUSE_LEAST_S = 0.05
 PAUSE_MOST_S = 2.0
@@ -22,37 +22,6 @@
 CODE_KEY_UNKNOWN = 'EP2203'
 
 
-@dataclasses.dataclass(frozen=True)
-class Endpoint:
-    """An entry host of the bootstrap list."""
-
-    address: str
-    port: int
-
-
-@dataclasses.dataclass(frozen=True)
-class HostChoice:
-    """An entry host as a look-up names it."""
-
-    name: str
-    address: str
-    port: int
-    weight: int
-    tier: int
-
-
-@dataclasses.dataclass(frozen=True)
-class LookUp:
-    """The answer to a look-up."""
-
-    entry_hosts: tuple[HostChoice, ...]
-    config_version: int
-    ttl_ms: int
-    key_prefix: str
-    region: str = ''
-    service: str = ''
-
-
 @dataclasses.dataclass(frozen=True)
 class CallerAnswer:
     """What became of a request.
@@ -130,33 +99,24 @@
     """
 
     def __init__(self, bootstrap, client=None, local_address=None, rng=None):
-        self._bootstrap = list(bootstrap)
         self.client = client
-        self._local = local_address
         self._rng = rng or random.Random()
-        self._pools = {}
-        self._lookups = {}
-        self._prefixes = {}
-        self._failed_until = {}
+        self._pools = _pools.Pools(local_address)
+        self._hosts = _lookups.HostFinder(
+            bootstrap, client, self._pools, self._rng
+        )
         self._budget = request.RetryBudget(share=0.2, most=20)
-        self._looking = {}
-        self.lookups_made = 0
 
     async def __aenter__(self):
         return self
 
     async def __aexit__(self, *exc_info):
-        for pool in self._pools.values():
-            await pool.__aexit__(*exc_info)
-
-    async def _pool(self, address, port):
-        end = (address, port)
-        if end not in self._pools:
-            pool = connection.Pool(address, port, self._local)
-            self._pools[end] = await pool.__aenter__()
-        return self._pools[end]
+        await self._pools.close()
 
-    # Look-ups.
+    @property
+    def lookups_made(self):
+        """How many look-ups were sent."""
+        return self._hosts.asked
 
     async def look_up(self, service):
         """Return the look-up for a service, from memory while it is fresh.
@@ -166,75 +126,7 @@
         connection.LostError
             If no entry host answered and nothing is in memory.
         """
-        found, until = self._lookups.get(service, (None, 0.0))
-        if found is not None and time.monotonic() < until:
-            return found
-        if service not in self._looking:
-            task = asyncio.ensure_future(self._ask_any(service))
-            self._looking[service] = task
-            task.add_done_callback(lambda _: self._looking.pop(service, None))
-        try:
-            found = await asyncio.shield(self._looking[service])
-        except connection.LostError:
-            if found is None:
-                raise
-        return found
-
-    async def _ask_any(self, service):
-        known, _ = self._lookups.get(service, (None, 0.0))
-        ends = list(self._bootstrap)
-        self._rng.shuffle(ends)
-        if known is not None:
-            near = [Endpoint(h.address, h.port) for h in known.entry_hosts]
-            ends = near[:3] + ends
-        for end in ends:
-            found = await self._ask(end, service)
-            if found is not None:
-                until = time.monotonic() + found.ttl_ms / 1000
-                self._lookups[service] = (found, until)
-                host = found.key_prefix.partition('~')[0]
-                self._prefixes[host] = found.key_prefix
-                return found
-        raise connection.LostError('no entry host answered the look-up')
-
-    async def _ask(self, end, service):
-        path = f'/v1/entry-hosts?service={service}'
-        if self.client:
-            path += f'&client={self.client}'
-        pool = await self._pool(end.address, end.port)
-        self.lookups_made += 1
-        try:
-            status, body = await pool.call_json(
-                'GET', path, timeout_s=LOOKUP_TIMEOUT_S
-            )
-            if status != 200:
-                return None
-            found = msgspec.json.decode(body, type=LookUp)
-        except (
-            connection.ConnectFailedError,
-            connection.LostError,
-            msgspec.MsgspecError,
-        ):
-            return None
-        return found if found.entry_hosts else None
-
-    def _pick(self, found, failed):
-        """Return an entry host: lowest tier, then by weight."""
-        now = time.monotonic()
-        hosts = [
-            host
-            for host in found.entry_hosts
-            if host.name not in failed
-            and self._failed_until.get(host.name, 0.0) <= now
-        ]
-        if not hosts:
-            hosts = list(found.entry_hosts)
-        tier = min(host.tier for host in hosts)
-        nearest = [host for host in hosts if host.tier == tier]
-        weights = [host.weight for host in nearest]
-        return self._rng.choices(nearest, weights)[0]
-
-    # Requests.
+        return await self._hosts.look_up(service)
 
     async def send(
         self,
@@ -312,8 +204,7 @@
                 return False
             # The key's host is gone and nothing was ever sent with the
             # key: a new key is a first try.
-            self._prefixes.pop((call.key or '').partition('~')[0], None)
-            self._lookups.pop(call.service, None)
+            self._hosts.forget(call.service, call.key)
             call.key = None
             return True
         call.sent = True
@@ -335,14 +226,14 @@
         return True
 
     async def _send_once(self, call, found):
-        host = self._pick(found, call.failed)
+        host = self._hosts.pick(found, call.failed)
         if not call.idempotent or call.body is not None:
             return await self._send_to(call, host, found, False)
         first = asyncio.ensure_future(self._send_to(call, host, found, False))
         done, _ = await asyncio.wait({first}, timeout=HEDGE_AFTER_S)
         if done or not self._budget.take():
             return await first
-        other = self._pick(found, call.failed | {host.name})
+        other = self._hosts.pick(found, call.failed | {host.name})
         second = asyncio.ensure_future(self._send_to(call, other, found, True))
         return await self._better(first, second, host)
 
@@ -360,14 +251,14 @@
                     for other in pending:
                         other.cancel()
                     if first in pending:
-                        pool = await self._pool(host.address, host.port)
+                        pool = await self._pools.get(host.address, host.port)
                         pool.retire()
                     return answer
         return answer
 
     def _key_for(self, call, host, found):
         if call.key is None:
-            prefix = self._prefixes.get(host.name, found.key_prefix)
+            prefix = self._hosts.key_prefix(host, found)
             call.key = prefix + uuid.uuid4().hex
         return call.key
 
@@ -389,7 +280,7 @@
     async def _send_to(self, call, host, found, fresh):
         call.sends += 1
         self._budget.deposit()
-        pool = await self._pool(host.address, host.port)
+        pool = await self._pools.get(host.address, host.port)
         left_s = max(0.01, call.deadline - time.monotonic())
         body = call.body() if callable(call.body) else call.body
         try:
@@ -416,15 +307,15 @@
 
     def _note_failed(self, call, host):
         call.failed.add(host.name)
-        self._failed_until[host.name] = time.monotonic() + FAILED_HOST_S
+        self._hosts.avoid(host)
 
     def _take(self, host, resp, body):
         names = connection.headers
         headers = {k.lower(): v for k, v in resp.headers.items()}
         if names.KEY_PREFIX in headers:
-            self._prefixes[host.name] = headers[names.KEY_PREFIX]
+            self._hosts.note_prefix(host, headers[names.KEY_PREFIX])
         if names.LEAVING in headers:
-            self._failed_until[host.name] = time.monotonic() + FAILED_HOST_S
+            self._hosts.avoid(host)
         text = headers.get(names.OUTCOME, 'unknown')
         return CallerAnswer(request.Outcome(text), resp.status, body, headers)
 
@@ -438,5 +329,5 @@
     >>> caller.lookups_made
     0
     """
-    ends = [Endpoint(address, port) for address, port in bootstrap]
+    ends = [_lookups.Endpoint(address, port) for address, port in bootstrap]
     return Caller(ends, **options)
--- /dev/null
+++ b/ebonypick/experiment/_hosts.py
@@ -0,0 +1,282 @@
+"""The real core in the experiment: one dispatcher for each entry host."""
+
+import collections
+
+from ebonypick import process
+from ebonypick import request
+
+EXCHANGE_S = 0.5
+TICK_S = 0.1
+ATTEMPTS_MOST = 4
+LINK_SHARE = process.LINK_SHARE
+LINK_BURST_S = process.LINK_BURST_S
+
+
+class OwnerHosts:
+    """Entry hosts that own slots, as events see them.
+
+    Parameters
+    ==========
+    fake : Fake
+        The run.
+    """
+
+    def __init__(self, fake):
+        self.sheds = 0
+        self.refusals = 0
+        self.link_bytes = collections.Counter()
+        self.hosts = {}
+        self.alive = set(fake.cfg.entry_hosts())
+        self.leaving = frozenset()
+        self._fake = fake
+        self._reqs = {}
+        self._links = {}
+        self._entries = {}
+        self._make_hosts()
+
+    def _make_hosts(self):
+        fake = self._fake
+        for name in fake.cfg.entry_hosts():
+            region = fake.regions[fake.centre(name)]
+            settings = request.OwnerSettings(
+                queue_wait_s=fake.service.queue_wait_ms / 1000,
+                service_s=fake.mean_s,
+                warm_s=fake.service.warm_s,
+                reserve_share=fake.cfg.base.regions[region].reserve_share,
+            )
+            self.hosts[name] = request.Dispatcher(
+                name,
+                region,
+                settings,
+                request.make_policy(fake.service.objective, fake.choice),
+                link_wait_s=self._link_wait(name),
+                allowed_share=lambda shift: fake.work.shift_share(fake.now),
+            )
+            self._make_links(name, region)
+        self.relayout()
+
+    def _link_wait(self, host):
+        return lambda region, now: self._links[host, region].wait_s(now)
+
+    def _make_links(self, name, region):
+        base = self._fake.cfg.base
+        centres = base.regions[region].data_centres.values()
+        count = sum(len(centre.entry_hosts) for centre in centres)
+        for link in base.links:
+            if region in link.between:
+                other = next(r for r in link.between if r != region)
+                part = link.limit_mbit_s * 1e6 / 8 * LINK_SHARE / count
+                self._links[name, other] = request.LinkBudget(
+                    part, part * LINK_BURST_S
+                )
+
+    def lose_hosts(self, names):
+        """Take entry hosts away; the others hear of it later."""
+        self.alive -= set(names)
+
+    def lose_region(self, region):
+        """Take a region's entry hosts and backend servers away."""
+        fake = self._fake
+        self.lose_hosts(
+            name
+            for name in self.hosts
+            if fake.regions[fake.centre(name)] == region
+        )
+        for server in fake.servers.values():
+            if server.region == region:
+                server.slots = 0
+                self.leaving |= {server.name}
+
+    def relayout(self):
+        """Tell all hosts who lives and what leaves."""
+        fake = self._fake
+        alive = collections.defaultdict(list)
+        for name in sorted(self.alive):
+            alive[fake.centre(name)].append(name)
+        view = process.View(
+            {c: tuple(alive[c]) for c in fake.regions}, frozenset()
+        )
+        for name in sorted(self.alive):
+            layout = process.make_layout(
+                fake.cfg, view, name, fake.work.service, self.leaving
+            )
+            self._resolve(name, self.hosts[name].update(layout, fake.now))
+        self._entries = {
+            region: request.look_up(fake.cfg, view, region, layout.places)
+            for region in fake.cfg.base.regions
+        }
+
+    def start(self):
+        """Begin the exchanges of loads and the ticks."""
+        self._fake.at(EXCHANGE_S, self._exchange)
+        self._fake.at(TICK_S, self._tick)
+
+    def send(self, req):
+        """Send a request to an entry host, as a look-up says."""
+        rows = [r for r in self._entries[req.home] if r.name in self.alive]
+        nearest = [r for r in rows if r.tier == rows[0].tier]
+        weights = [r.weight for r in nearest]
+        req.origin = self._fake.choice.choices(nearest, weights)[0].name
+        req.name = f'r{req.number}'
+        self._route(req)
+
+    def _offer(self, req, foreign, planned=False):
+        name = f'{req.name}.{req.attempts}'
+        self._reqs[name] = req
+        deadline = req.at + self._fake.work.deadline_s
+        return request.Offer(name, deadline, foreign, planned)
+
+    def _route(self, req):
+        req.attempts += 1
+        if req.origin not in self.alive:
+            self._fake.end(req, None, False)
+            return
+        # Callers of a lost region come to another one's entry hosts.
+        foreign = req.home != self._fake.regions[self._fake.centre(req.origin)]
+        arrival = request.Arrival(
+            self._offer(req, foreign),
+            frozenset(req.tried),
+            req.attempts == 1,
+            moved_to=req.moved_to,
+        )
+        decision = self.hosts[req.origin].arrive(arrival, self._fake.now)
+        self._carry_out(req.origin, decision)
+
+    def _carry_out(self, host, decision):
+        req = self._reqs[decision.req]
+        if isinstance(decision, request.Placed):
+            way_s = self._fake.way_s(
+                host, self._fake.servers[decision.backend].centre
+            )
+            self._fake.at(
+                self._fake.now + way_s,
+                self._start_run,
+                host,
+                decision.req,
+                decision.backend,
+            )
+        elif isinstance(decision, request.Forward):
+            planned = decision.reason == 'shift'
+            req.moved_to = decision.region if planned else None
+            way_s = self._fake.way_s(host, self._fake.centre(decision.owner))
+            self._fake.at(
+                self._fake.now + way_s, self._pass_on, req, decision.owner
+            )
+        elif isinstance(decision, request.Refused):
+            self._refuse(req, host)
+
+    def _pass_on(self, req, owner):
+        if owner not in self.alive:
+            self._refuse(req, owner)
+            return
+        foreign = req.home != self._fake.regions[self._fake.centre(owner)]
+        offer = self._offer(req, foreign, req.moved_to is not None)
+        arrival = request.Arrival(offer, passed=True)
+        decision = self.hosts[owner].arrive(arrival, self._fake.now)
+        self._carry_out(owner, decision)
+
+    def _refuse(self, req, host):
+        """Take a refusal back to the origin, which may try another."""
+        self.refusals += 1
+        if host == req.origin or req.attempts >= ATTEMPTS_MOST:
+            self._fake.end(req, None, False)
+            return
+        req.tried.add(host)
+        self._tell_load(host, req.origin)
+        self.hosts[req.origin].forward_ended(
+            f'{req.name}.{req.attempts}', host, self._fake.now
+        )
+        self._fake.at(
+            self._fake.now
+            + self._fake.way_s(host, self._fake.centre(req.origin)),
+            self._route,
+            req,
+        )
+
+    def _tell_load(self, host, origin):
+        if host in self.alive and origin in self.alive:
+            load = self.hosts[host].owner.load(self._fake.now)
+            self.hosts[origin].hear_load(host, load, self._fake.now)
+
+    def _start_run(self, host, name, backend):
+        server = self._fake.servers[backend]
+        if server.busy >= server.slots:
+            self.sheds += 1
+            if host in self.alive:
+                result = request.Result.SHED
+                done = self.hosts[host].finish(name, result, self._fake.now)
+                self._resolve(host, done)
+            self._refuse(self._reqs[name], host)
+            return
+        self._fake.occupy(server)
+        self._fake.at(
+            self._fake.now + self._fake.service_s(self._reqs[name], server),
+            self._end_run,
+            host,
+            name,
+            server,
+        )
+
+    def _end_run(self, host, name, server):
+        self._fake.release(server)
+        self._fake.at(
+            self._fake.now + self._fake.way_s(host, server.centre),
+            self._answer,
+            host,
+            name,
+            server,
+        )
+
+    def _answer(self, host, name, server):
+        req = self._reqs[name]
+        if host in self.alive:
+            result = request.Result.DONE
+            done = self.hosts[host].finish(name, result, self._fake.now)
+            self._resolve(host, done)
+        way_s = 0.0
+        if host != req.origin:
+            way_s = self._fake.way_s(host, self._fake.centre(req.origin))
+            way_s += self._charge_link(host, req)
+            self.hosts[req.origin].forward_ended(name, host, self._fake.now)
+            self._tell_load(host, req.origin)
+        lost = host not in self.alive or req.origin not in self.alive
+        self._fake.at(
+            self._fake.now + way_s,
+            self._fake.end,
+            req,
+            server.region,
+            not lost,
+        )
+
+    def _charge_link(self, host, req):
+        """Send an answer over the link; return how long it waits."""
+        home = self._fake.regions[self._fake.centre(host)]
+        to = self._fake.regions[self._fake.centre(req.origin)]
+        if home == to:
+            return 0.0
+        size = self._fake.work.answer_bytes
+        wait_s = self._links[host, to].take(size, self._fake.now)
+        second = int(self._fake.now + wait_s)
+        self.link_bytes[home, to, second] += size
+        return wait_s
+
+    def _resolve(self, host, decisions):
+        for decision in decisions:
+            self._carry_out(host, decision)
+
+    def _exchange(self):
+        """Let all hosts hear each other's loads, as their messages do."""
+        if self._fake.now < self._fake.work.seconds:
+            self._fake.at(self._fake.now + EXCHANGE_S, self._exchange)
+        for host in sorted(self.alive):
+            for origin in sorted(self.alive - {host}):
+                self._tell_load(host, origin)
+
+    def _tick(self):
+        if (
+            self._fake.now
+            < self._fake.work.seconds + self._fake.work.deadline_s
+        ):
+            self._fake.at(self._fake.now + TICK_S, self._tick)
+        for host in sorted(self.alive):
+            self._resolve(host, self.hosts[host].tick(self._fake.now))
--- a/ebonypick/process/__init__.py
+++ b/ebonypick/process/__init__.py
@@ -1,15 +1,17 @@
 """What lives as long as a process: membership, tasks, the entry host."""
 
-from ebonypick.process._membership import CentreRecord
-from ebonypick.process._membership import HostRecord
+from ebonypick.process._links import LINK_BURST_S
+from ebonypick.process._links import LINK_SHARE
 from ebonypick.process._membership import Membership
-from ebonypick.process._membership import Message
 from ebonypick.process._membership import rendezvous
 from ebonypick.process._membership import SUSPECT_S
 from ebonypick.process._membership import View
 from ebonypick.process._node import EntryHost
 from ebonypick.process._node import make_entry_host
 from ebonypick.process._ownership import make_layout
+from ebonypick.process._records import CentreRecord
+from ebonypick.process._records import HostRecord
+from ebonypick.process._records import Message
 from ebonypick.process._settings import Endpoint
 from ebonypick.process._settings import load_settings
 from ebonypick.process._settings import Settings
@@ -19,6 +21,8 @@
     'Endpoint',
     'EntryHost',
     'HostRecord',
+    'LINK_BURST_S',
+    'LINK_SHARE',
     'Membership',
     'Message',
     'SUSPECT_S',
--- a/ebonypick/process/_attempt.py
+++ b/ebonypick/process/_attempt.py
@@ -93,7 +93,7 @@
         self._intake = intake
         self._path = path
         self._body = body
-        self._task = node.services[intake.info.service]
+        self._task = node.layouts.services[intake.info.service]
         # Each attempt has an id of its own, so that an answer to an earlier
         # one is not taken for this one's.
         req = f'{intake.info.req}.{number}'
@@ -155,7 +155,7 @@
         self._finish(result)
 
     async def _send_to_backend(self, placed, fresh):
-        link = self._node.backends.get(placed.backend)
+        link = self._node.ends.backends.get(placed.backend)
         if link is None:
             self._finish(request.Result.CONNECT_FAILED)
             return Answer(
@@ -228,10 +228,10 @@
         stack = contextlib.AsyncExitStack()
         answer = Answer(request.Outcome.UNKNOWN, forward.owner)
         load = None
-        peer = self._node.peers.get(forward.owner)
+        peer = self._node.ends.peers.get(forward.owner)
 
         async def pace(size):
-            await self._node.pace(forward.region, size)
+            await self._node.links.pace(forward.region, size)
 
         try:
             if peer is None:
--- a/ebonypick/process/_claims.py
+++ b/ebonypick/process/_claims.py
@@ -120,7 +120,7 @@
     Parameters
     ==========
     node : object
-        Has ``host``, ``ledger``, ``peers``, ``tasks`` and ``platform``.
+        Has ``host``, ``ledger``, ``ends``, ``tasks`` and ``platform``.
     service, key : str
         What is claimed.
     """
@@ -144,7 +144,7 @@
         call = ClaimCall(action, self._key, self._holder, record)
         if self._parsed.host == self._node.host:
             return apply_call(self._node.ledger, call, time.monotonic())
-        peer = self._node.peers.get(self._parsed.host)
+        peer = self._node.ends.peers.get(self._parsed.host)
         if peer is None:
             reason = f'there is no entry host {self._parsed.host!r}'
             return ClaimReply('forgotten', reason=reason)
--- a/ebonypick/process/_control.py
+++ b/ebonypick/process/_control.py
@@ -9,6 +9,7 @@
 from ebonypick import events
 from ebonypick.process import _claims
 from ebonypick.process import _reader
+from ebonypick.process import _status
 from ebonypick import registry
 from ebonypick import request
 
@@ -105,7 +106,7 @@
         )
     client = req.query.get('client', req.client)
     region = _client_region(node, client)
-    return service, client, region, node.look_up(service, region)
+    return service, client, region, node.layouts.look_up(service, region)
 
 
 @controls.register('/v1/entry-hosts')
@@ -132,7 +133,7 @@
 async def explain_route(node, req):
     """Tell where a request would go, and what it was weighed against."""
     service, _, region, found = _look_up(node, req)
-    targets, chosen = await node.services[service].explain()
+    targets, chosen = await node.layouts.services[service].explain()
     service_s = node.board.version.cfg.base.services[service].service_ms / 1e3
     rows = [
         {
@@ -171,7 +172,7 @@
 @controls.register('/v1/status')
 async def status(node, req):
     """Give the operators' status."""
-    return _json(node.status())
+    return _json(_status.describe(node))
 
 
 @controls.register('/peer/v1/gossip')
--- a/ebonypick/process/_gossip.py
+++ b/ebonypick/process/_gossip.py
@@ -8,6 +8,7 @@
 from ebonypick import connection
 from ebonypick import events
 from ebonypick.process import _membership
+from ebonypick.process import _records
 
 EXCHANGE_TIMEOUT_S = 0.8
 # What exchanges may send and receive, heads of HTTP included.
@@ -60,7 +61,7 @@
 
     def receive(self, data):
         """Take in a peer's message; return the reply's bytes."""
-        message = msgspec.json.decode(data, type=_membership.Message)
+        message = msgspec.json.decode(data, type=_records.Message)
         self._take(message, message.sender)
         reply = self._encode(message.data_centre)
         self._count(data, reply)
@@ -123,10 +124,10 @@
     async def tick(self):
         """Make one round of exchanges."""
         membership = self._membership
-        membership.loads = self._node.own_loads()
+        membership.loads = self._node.layouts.own_loads()
         targets = membership.tick(time.monotonic())
         if self._node.board.version is None:
-            targets = tuple(self._node.seeds)
+            targets = tuple(self._node.ends.seeds)
         for name in targets:
             self._node.tasks.start(self._exchange(name))
         self._publish()
@@ -134,11 +135,11 @@
     async def announce(self):
         """Exchange messages with every reachable host once."""
         await asyncio.gather(
-            *(self._exchange(name) for name in list(self._node.peers))
+            *(self._exchange(name) for name in list(self._node.ends.peers))
         )
 
     async def _exchange(self, name):
-        peer = self._node.peer(name)
+        peer = self._node.ends.peer(name)
         if peer is None:
             return
         data = self._encode(self._node.centre_of(name))
@@ -153,7 +154,7 @@
             )
             self._count(data, body)
             if status == 200:
-                found = msgspec.json.decode(body, type=_membership.Message)
+                found = msgspec.json.decode(body, type=_records.Message)
                 self._take(found, name)
         except (
             connection.ConnectFailedError,
--- /dev/null
+++ b/ebonypick/process/_links.py
@@ -0,0 +1,62 @@
+"""This host's part of the links to other regions."""
+
+import asyncio
+import time
+
+from ebonypick import request
+
+# Part of a link's limit that the entry hosts share among them; the rest is
+# for heads, handshakes and what else crosses the link.
+LINK_SHARE = 0.85
+LINK_BURST_S = 0.05
+
+
+class Links:
+    """The budgets of bytes that this host may send to other regions.
+
+    Parameters
+    ==========
+    region : str
+        The region of this host.
+    metrics : Metrics
+        Counts the bytes.
+    """
+
+    def __init__(self, region, metrics):
+        self._region = region
+        self._metrics = metrics
+        self._budgets = {}
+
+    def configure(self, cfg):
+        """Take the limits of a configuration.
+
+        The parts are those of the configured entry hosts of the region, so
+        that their sum keeps the limit however many of them live.
+        """
+        if self._region not in cfg.base.regions:
+            return
+        centres = cfg.base.regions[self._region].data_centres.values()
+        hosts = sum(len(centre.entry_hosts) for centre in centres)
+        budgets = {}
+        for link in cfg.base.links:
+            if self._region not in link.between:
+                continue
+            other = next(n for n in link.between if n != self._region)
+            part = link.limit_mbit_s * 1e6 / 8 * LINK_SHARE / max(1, hosts)
+            budgets[other] = request.LinkBudget(part, part * LINK_BURST_S)
+        self._budgets = budgets
+
+    def wait_s(self, region, now):
+        """Return how long the next byte to a region would wait."""
+        budget = self._budgets.get(region)
+        return budget.wait_s(now) if budget is not None else 0.0
+
+    async def pace(self, region, size):
+        """Wait until bytes may go over the link to a region."""
+        budget = self._budgets.get(region)
+        if budget is None:
+            return
+        self._metrics.link_bytes.labels(region).inc(size)
+        wait_s = budget.take(size, time.monotonic())
+        if wait_s > 0:
+            await asyncio.sleep(wait_s)
--- a/ebonypick/process/_membership.py
+++ b/ebonypick/process/_membership.py
@@ -9,9 +9,10 @@
 
 import dataclasses
 
-import msgspec
 import xxhash
 
+from ebonypick.process import _records
+
 TICK_S = 0.5
 SUSPECT_S = 2.0
 CENTRE_SUSPECT_S = 2.5
@@ -23,89 +24,6 @@
 FAILED_S = 1.0
 
 
-class HostRecord(msgspec.Struct, frozen=True, array_like=True):
-    """What an entry host says of itself to its data centre.
-
-    Parameters
-    ==========
-    host : str
-        Its name.
-    incarnation : int
-        Grows with each start of its process.
-    beat : int
-        Grows with each tick.
-    leaving : bool
-        Whether it is in a planned stop.
-    loads : dict of str to tuple of int
-        By service: free slots, waiting requests, slots.
-    """
-
-    host: str
-    incarnation: int
-    beat: int
-    leaving: bool
-    loads: dict[str, tuple[int, int, int]]
-
-    @property
-    def order(self):
-        """Sorts records of one author by age."""
-        return (self.incarnation, self.beat)
-
-
-class CentreRecord(msgspec.Struct, frozen=True, array_like=True):
-    """What a speaker says of its data centre to the others.
-
-    Parameters
-    ==========
-    data_centre, speaker : str
-        Which one, and the entry host that says so.
-    incarnation, beat : int
-        The speaker's.
-    absent, leaving : tuple of str
-        Its entry hosts that are not heard, or in a planned stop.
-    loads : dict of str to tuple of int
-        By service, summed: free slots, waiting requests, slots.
-    """
-
-    data_centre: str
-    speaker: str
-    incarnation: int
-    beat: int
-    absent: tuple[str, ...]
-    leaving: tuple[str, ...]
-    loads: dict[str, tuple[int, int, int]]
-
-    @property
-    def order(self):
-        """Sorts records of one author by age."""
-        return (self.incarnation, self.beat)
-
-
-class Message(msgspec.Struct, frozen=True, array_like=True):
-    """What one entry host tells another at an exchange.
-
-    Parameters
-    ==========
-    sender : str
-        Who tells.
-    data_centre : str
-        Where it stands.
-    version : int
-        The configuration that it has in force.
-    platform_s : float or None
-        A lower bound of the platform's time, where it knows one.
-    hosts, centres : tuple
-        Records, newest first.
-    """
-
-    sender: str
-    data_centre: str
-    version: int
-    platform_s: float | None
-    hosts: tuple[HostRecord, ...]
-    centres: tuple[CentreRecord, ...]
-
-
 @dataclasses.dataclass(frozen=True)
 class View:
     """Who lives, as one host sees it; the whole map of the moment.
@@ -277,7 +195,7 @@
         return self._rng.choice(names) if names else None
 
     def _own_record(self):
-        return HostRecord(
+        return _records.HostRecord(
             self.host,
             self._incarnation,
             self._beat,
@@ -298,7 +216,7 @@
             for service, load in record.loads.items():
                 known = loads.get(service, (0, 0, 0))
                 loads[service] = tuple(a + b for a, b in zip(known, load))
-        return CentreRecord(
+        return _records.CentreRecord(
             self.data_centre,
             self.host,
             self._incarnation,
@@ -331,7 +249,7 @@
         centres = self._select(self._speakers, limit_s, now)
         if self.is_speaker(now):
             centres.insert(0, self._own_centre_record(now))
-        return Message(
+        return _records.Message(
             self.host,
             self.data_centre,
             version,
--- a/ebonypick/process/_probes.py
+++ b/ebonypick/process/_probes.py
@@ -41,7 +41,7 @@
 
     async def _probe(self, name, service):
         while True:
-            link = self._node.backends.get(name)
+            link = self._node.ends.backends.get(name)
             if link is None:
                 return
             try:
@@ -49,7 +49,7 @@
             except (connection.ConnectFailedError, connection.LostError):
                 report = None
             self._note(name, report)
-            task = self._node.services.get(service)
+            task = self._node.layouts.services.get(service)
             if task is not None:
                 task.tell(_service.Probed(name, report))
             await asyncio.sleep(PROBE_INTERVAL_S)
--- a/ebonypick/process/_reader.py
+++ b/ebonypick/process/_reader.py
@@ -126,7 +126,7 @@
     async def _fetch_from_peers(self):
         while self._quoted_by and self._holder.behind:
             name = self._quoted_by.popleft()
-            peer = self._node.peer(name)
+            peer = self._node.ends.peer(name)
             if peer is not None:
                 await self._fetch_from(name, peer)
 
--- a/ebonypick/process/_relay.py
+++ b/ebonypick/process/_relay.py
@@ -122,7 +122,7 @@
             With the outcome that is known.
         """
         service = self._intake.info.service
-        self._node.budgets[service].deposit()
+        self._node.layouts.budgets[service].deposit()
         if self._intake.info.idempotent and not self._passed:
             answer = await self._serve_hedged()
         else:
@@ -132,7 +132,7 @@
     async def _serve_hedged(self):
         """Serve a read; a second try runs beside one that takes long."""
         service = self._intake.info.service
-        delay = self._node.hedge_delays[service]
+        delay = self._node.layouts.hedge_delays[service]
         first = asyncio.ensure_future(self._serve_in_turn(False))
         running = {first}
         try:
@@ -151,7 +151,7 @@
                 self._node.drop_loser(task)
         now = time.monotonic()
         if not first.done() and now - self._sent_at > SILENT_S:
-            self._node.retire_silent(self._first_source)
+            self._node.ends.retire(self._first_source)
         delay.observe(now - self._sent_at)
         return answer
 
@@ -170,7 +170,10 @@
 
     def _may_hedge(self):
         service = self._intake.info.service
-        return self._body.repeatable and self._node.budgets[service].take()
+        return (
+            self._body.repeatable
+            and self._node.layouts.budgets[service].take()
+        )
 
     async def _serve_in_turn(self, hedge):
         """Make attempts one after the other until one is done."""
@@ -229,12 +232,12 @@
         info = self._intake.info
         if answer.outcome is request.Outcome.UNKNOWN:
             if info.idempotent:
-                self._node.retire_silent(answer.source)
+                self._node.ends.retire(answer.source)
             late = info.deadline <= time.monotonic()
             again = request.may_send_again(info, answer.outcome)
             if late or not again or not self._body.repeatable:
                 raise self._unknown_error(answer.reason, late)
-            if not self._node.budgets[info.service].take():
+            if not self._node.layouts.budgets[info.service].take():
                 raise self._unknown_error(answer.reason, late)
         elif not self._body.repeatable:
             raise errors.NoCapacityError(service=info.service, retry_after_s=1)
@@ -267,7 +270,7 @@
             (names.CONFIG_VERSION, str(node.board.number)),
         ]
         if self._passed and self._intake:
-            load = node.services[self._intake.info.service].load
+            load = node.layouts.services[self._intake.info.service].load
             rows.append((names.LOAD, _attempt.format_load(load)))
         else:
             rows.append((names.KEY_PREFIX, node.key_prefix()))
@@ -350,7 +353,7 @@
         if not part:
             return
         if self._passed and self._intake.info.foreign:
-            await self._node.pace(self._intake.home_region, len(part))
+            await self._node.links.pace(self._intake.home_region, len(part))
         await self._req.write(part)
 
 
--- a/ebonypick/request/_dispatcher.py
+++ b/ebonypick/request/_dispatcher.py
@@ -12,6 +12,7 @@
 
 from ebonypick.request import _budget
 from ebonypick.request import _owner
+from ebonypick.request import _placement
 from ebonypick.request import _policy
 
 # A load older than this says nothing; the target counts as just full.
@@ -86,7 +87,7 @@
         The region that a shift chose for it at an earlier attempt.
     """
 
-    offer: _owner.Offer
+    offer: _placement.Offer
     tried: frozenset = frozenset()
     first: bool = True
     passed: bool = False
@@ -194,7 +195,7 @@
             moved_to = self._shifted_to()
         if moved_to is not None:
             decision = self._choose(arrival, now, lambda p: p == moved_to)
-            if not isinstance(decision, _owner.Refused):
+            if not isinstance(decision, _placement.Refused):
                 return self._as_shift(decision)
         capped = {shift.to_region for _, shift in self._layout.shifts}
         if not any(p.region == self.region for p in self._layout.places):
@@ -230,7 +231,7 @@
             if target.name != self.host:
                 return self._forward(offer, target)
             decision = self.owner.offer(offer, now)
-            if not isinstance(decision, _owner.Refused):
+            if not isinstance(decision, _placement.Refused):
                 return decision
             refused = decision
             tried.add(self.host)
@@ -250,7 +251,7 @@
         load = self.owner.load(now)
         wait_s = (load.queued + 1) * self.owner.service_s
         wait_s /= max(1, load.capacity)
-        return _owner.Refused(offer.req, reason, max(wait_s, 0.2))
+        return _placement.Refused(offer.req, reason, max(wait_s, 0.2))
 
     def _forward(self, offer, target):
         self._sent[target.name] += 1
@@ -286,7 +287,7 @@
         load, at = self._loads.get(place.name, (None, now))
         sent = self._sent[place.name]
         if load is None or now - at > LOAD_KEPT_S:
-            load = _owner.Load(place.capacity, 0, place.capacity)
+            load = _placement.Load(place.capacity, 0, place.capacity)
         free = load.free - sent
         if foreign:
             free -= place.reserve_share * load.capacity
