Bound how often quoted versions make a host ask the platform

Cause: read as a newcomer, each request that quotes a high version woke the reader, which polled the platform, so that any caller could load it. Change: 0.2 s between two polls. Ruled out: ignoring callers' quotes, which tell of a version sooner than the poll does.

--- a/ebonypick/process/_reader.py
+++ b/ebonypick/process/_reader.py
@@ -12,6 +12,7 @@
 from ebonypick import version
 
 POLL_S = 1.0
+LEAST_GAP_S = 0.2
 PEER_TIMEOUT_S = 2.0
 BUNDLES_KEPT = 32
 # What configuration changes may take of a core.
@@ -86,6 +87,9 @@
             if self._holder.behind:
                 await self._fetch_from_peers()
             await self._rest(time.thread_time() - started_at)
+            # Callers may quote anything: they cannot make this host ask
+            # the platform more often than so.
+            await asyncio.sleep(LEAST_GAP_S)
             self._quoted.clear()
             try:
                 async with asyncio.timeout(POLL_S):
