Keep quotes that come while the reader rests

Cause: the change before cleared them after the rest, so that one that came meanwhile waited for the next poll, up to a second. Change: they are cleared before.

--- a/ebonypick/process/_reader.py
+++ b/ebonypick/process/_reader.py
@@ -86,11 +86,11 @@
                 await self._poll_platform()
             if self._holder.behind:
                 await self._fetch_from_peers()
+            self._quoted.clear()
             await self._rest(time.thread_time() - started_at)
             # Callers may quote anything: they cannot make this host ask
             # the platform more often than so.
             await asyncio.sleep(LEAST_GAP_S)
-            self._quoted.clear()
             try:
                 async with asyncio.timeout(POLL_S):
                     await self._quoted.wait()
