--- a/ebonypick/version/_model.py
+++ b/ebonypick/version/_model.py
@@ -82,9 +82,6 @@
     once: Once = _field(
         'Where idempotency keys are kept: entry host or table.', 'host'
     )
-    priority: typing.Annotated[int, msgspec.Meta(ge=0, le=9)] = _field(
-        'Lower is served first where services share a link.', 5
-    )
     deadline_ms: DeadlineMs = _field('Deadline where none is given.', 10_000)
     queue_wait_ms: DeadlineMs = _field('Longest wait for a slot.', 2_000)
     service_ms: DelayMs = _field('Usual time of a request on a slot.', 10)
