Share the parts of links and the syntax tree; remove what nothing used

Cause: a last read of the whole change. The experiment tool worked out each host's part of a link beside the entry host's own code, and the editor of files built a parser of its own. Change: process.make_budgets and _parse.parse_tree serve both. Gone, as nothing used them: a header name, two constants, a property, a checker, two parameters, and the event EP1501, which stood in the catalogue but was never logged. Passed: the pure and command tests, the demo, and tests/test_input.py with tests/test_silence.py (33); the whole suite was not run again.

--- a/ebonypick/cli/_platform.py
+++ b/ebonypick/cli/_platform.py
@@ -20,8 +20,6 @@
 STEP = flags.DEFINE_float('step_share', 0.05, 'Growth of a shift each step.')
 HOLD = flags.DEFINE_float('hold_s', 30.0, 'Length of a step in seconds.')
 
-KINDS = ('backend_servers', 'entry_hosts', 'data_centres')
-
 
 @_base.command('submit', '', "ebonypick submit --note='more slots'")
 async def submit(words):
--- a/ebonypick/connection/_caller_http.py
+++ b/ebonypick/connection/_caller_http.py
@@ -56,13 +56,6 @@
         value = self.headers.get('content-length')
         return int(value) if value is not None else None
 
-    @property
-    def has_body(self):
-        """Whether a body is announced."""
-        return bool(self.content_length) or (
-            'transfer-encoding' in self.headers
-        )
-
     async def read(self, timeout_s):
         """Return the next bytes of the body, or None at its end.
 
--- a/ebonypick/connection/_headers.py
+++ b/ebonypick/connection/_headers.py
@@ -17,7 +17,6 @@
 HOP_REASON = 'ebonypick-hop-reason'
 AVOID = 'ebonypick-avoid'
 LOAD = 'ebonypick-load'
-BACKEND = 'ebonypick-backend'
 
 # RFC 9110, section 7.6.1, and framing, which each hop sets anew.
 HOP_BY_HOP = frozenset(
--- a/ebonypick/events.py
+++ b/ebonypick/events.py
@@ -116,7 +116,4 @@
     'EP1402', 'A configuration was not taken.', 'version', 'have', 'why'
 )
 PLATFORM_FAILED = define('EP1403', 'The platform failed.', 'why')
-SHIFT_STEP = define(
-    'EP1501', 'A shift allows another share.', 'shift', 'share'
-)
 TASK_FAILED = define('EP1901', 'A task failed and goes on.', 'task', 'why')
--- a/ebonypick/experiment/_hosts.py
+++ b/ebonypick/experiment/_hosts.py
@@ -8,8 +8,6 @@
 EXCHANGE_S = 0.5
 TICK_S = 0.1
 ATTEMPTS_MOST = 4
-LINK_SHARE = process.LINK_SHARE
-LINK_BURST_S = process.LINK_BURST_S
 
 
 class OwnerHosts:
@@ -52,23 +50,11 @@
                 link_wait_s=self._link_wait(name),
                 allowed_share=lambda shift: fake.work.shift_share(fake.now),
             )
-            self._make_links(name, region)
+            self._links[name] = process.make_budgets(fake.cfg, region)
         self.relayout()
 
     def _link_wait(self, host):
-        return lambda region, now: self._links[host, region].wait_s(now)
-
-    def _make_links(self, name, region):
-        base = self._fake.cfg.base
-        centres = base.regions[region].data_centres.values()
-        count = sum(len(centre.entry_hosts) for centre in centres)
-        for link in base.links:
-            if region in link.between:
-                other = next(r for r in link.between if r != region)
-                part = link.limit_mbit_s * 1e6 / 8 * LINK_SHARE / count
-                self._links[name, other] = request.LinkBudget(
-                    part, part * LINK_BURST_S
-                )
+        return lambda region, now: self._links[host][region].wait_s(now)
 
     def lose_hosts(self, names):
         """Take entry hosts away; the others hear of it later."""
@@ -255,7 +241,7 @@
         if home == to:
             return 0.0
         size = self._fake.work.answer_bytes
-        wait_s = self._links[host, to].take(size, self._fake.now)
+        wait_s = self._links[host][to].take(size, self._fake.now)
         second = int(self._fake.now + wait_s)
         self.link_bytes[home, to, second] += size
         return wait_s
--- a/ebonypick/process/__init__.py
+++ b/ebonypick/process/__init__.py
@@ -1,7 +1,6 @@
 """What lives as long as a process: membership, tasks, the entry host."""
 
-from ebonypick.process._links import LINK_BURST_S
-from ebonypick.process._links import LINK_SHARE
+from ebonypick.process._links import make_budgets
 from ebonypick.process._membership import Membership
 from ebonypick.process._membership import rendezvous
 from ebonypick.process._membership import SUSPECT_S
@@ -21,14 +20,13 @@
     'Endpoint',
     'EntryHost',
     'HostRecord',
-    'LINK_BURST_S',
-    'LINK_SHARE',
     'Membership',
     'Message',
     'SUSPECT_S',
     'Settings',
     'View',
     'load_settings',
+    'make_budgets',
     'make_entry_host',
     'make_layout',
     'rendezvous',
--- a/ebonypick/process/_links.py
+++ b/ebonypick/process/_links.py
@@ -11,6 +11,36 @@
 LINK_BURST_S = 0.05
 
 
+def make_budgets(cfg, region):
+    """Return one entry host's budget for each link of its region.
+
+    The parts are those of the configured entry hosts of the region, so that
+    their sum keeps the limit however many of them live.
+
+    Parameters
+    ==========
+    cfg : Configuration
+        The configuration.
+    region : str
+        The sending region, one of the configuration.
+
+    Returns
+    =======
+    dict of str to LinkBudget
+        By the region at the other end.
+    """
+    centres = cfg.base.regions[region].data_centres.values()
+    hosts = sum(len(centre.entry_hosts) for centre in centres)
+    budgets = {}
+    for link in cfg.base.links:
+        if region not in link.between:
+            continue
+        other = next(n for n in link.between if n != region)
+        part = link.limit_mbit_s * 1e6 / 8 * LINK_SHARE / max(1, hosts)
+        budgets[other] = request.LinkBudget(part, part * LINK_BURST_S)
+    return budgets
+
+
 class Links:
     """The budgets of bytes that this host may send to other regions.
 
@@ -28,23 +58,9 @@
         self._budgets = {}
 
     def configure(self, cfg):
-        """Take the limits of a configuration.
-
-        The parts are those of the configured entry hosts of the region, so
-        that their sum keeps the limit however many of them live.
-        """
-        if self._region not in cfg.base.regions:
-            return
-        centres = cfg.base.regions[self._region].data_centres.values()
-        hosts = sum(len(centre.entry_hosts) for centre in centres)
-        budgets = {}
-        for link in cfg.base.links:
-            if self._region not in link.between:
-                continue
-            other = next(n for n in link.between if n != self._region)
-            part = link.limit_mbit_s * 1e6 / 8 * LINK_SHARE / max(1, hosts)
-            budgets[other] = request.LinkBudget(part, part * LINK_BURST_S)
-        self._budgets = budgets
+        """Take the limits of a configuration."""
+        if self._region in cfg.base.regions:
+            self._budgets = make_budgets(cfg, self._region)
 
     def wait_s(self, region, now):
         """Return how long the next byte to a region would wait."""
--- a/ebonypick/process/_node.py
+++ b/ebonypick/process/_node.py
@@ -227,7 +227,7 @@
         found = self.board.version.cfg.entry_hosts().get(host)
         return found[0] if found else ''
 
-    def put_in_force(self, found, now):
+    def put_in_force(self, found):
         """Put a configuration in force."""
         blocks = version.make_block_table(found.cfg.base.client_blocks)
         hosts = found.cfg.entry_hosts()
--- a/ebonypick/process/_reader.py
+++ b/ebonypick/process/_reader.py
@@ -187,4 +187,4 @@
             events.CONFIG_IN_FORCE.log(
                 version=number, digest=digest[:12], source=source
             )
-            self._node.put_in_force(found, time.monotonic())
+            self._node.put_in_force(found)
--- a/ebonypick/version/_edit.py
+++ b/ebonypick/version/_edit.py
@@ -3,15 +3,14 @@
 import json
 
 import pyjson5
-import tree_sitter
-import tree_sitter_json
+
+from ebonypick.version import _parse
 
 INDENT = '    '
 
 
 def _root_object(data):
-    language = tree_sitter.Language(tree_sitter_json.language())
-    root = tree_sitter.Parser(language).parse(data).root_node
+    root = _parse.parse_tree(data)
     return next(n for n in root.named_children if n.type == 'object')
 
 
--- a/ebonypick/version/_parse.py
+++ b/ebonypick/version/_parse.py
@@ -60,6 +60,11 @@
     return tree_sitter.Parser(language)
 
 
+def parse_tree(data):
+    """Return the root of the syntax tree of a file's bytes."""
+    return _parser().parse(data).root_node
+
+
 def _first_error(node):
     if node.type == 'ERROR' or node.is_missing:
         return node
@@ -97,7 +102,7 @@
             _walk(child, path + (index,), file, places)
 
 
-def _syntax_error(file, root, text):
+def _syntax_error(file, root):
     node = _first_error(root)
     row, column = node.start_point if node is not None else (0, 0)
     return errors.SyntaxProblemError(
@@ -133,16 +138,16 @@
         If the text is not an object in JSON with comments.
     """
     data = text.encode('utf-8', 'surrogatepass')
-    root = _parser().parse(data).root_node
+    root = parse_tree(data)
     if root.has_error:
-        raise _syntax_error(file, root, text)
+        raise _syntax_error(file, root)
     try:
         value = pyjson5.loads(text, maxdepth=DEPTH_LIMIT)
     except pyjson5.Json5Exception as exc:
-        raise _syntax_error(file, root, text) from exc
+        raise _syntax_error(file, root) from exc
     content = _content(root)
     if len(content) != 1 or not isinstance(value, dict):
-        raise _syntax_error(file, root, text)
+        raise _syntax_error(file, root)
     places = {}
     _walk(content[0], (), file, places)
     return Source(file, text, value, places)
--- a/standins/history.py
+++ b/standins/history.py
@@ -166,15 +166,6 @@
     return found
 
 
-def check_all_answered(calls, runs):
-    """Each request was told an outcome that is known."""
-    return [
-        Violation('answered', f'{call.mark}: {call.outcome} {call.status}')
-        for call in calls
-        if call.outcome != 'done'
-    ]
-
-
 def check_leaving(left_at, runs, limit_s=2.0):
     """A server that leaves starts nothing after the limit.
 
