Never call a read 'not run' after a server may have run it

Cause: the error at the end of a request's attempts was made from the last attempt alone. A read whose first server reset after the run and whose second one shed it was answered 503, which promises that nothing ran; a server's 500 was replaced by our own 502 or 503 where no other attempt could be made.

Change: the attempts of a request are a class of their own, which remembers whether any server may have run it, and keeps a server's failure to pass it on where nothing better comes. Forward is split: one request, its attempts, one attempt. The check of histories counts reads too.

Ruled out: requests that must not be repeated; they end after the first attempt that may have run.

--- /dev/null
+++ b/ebonypick/process/_attempt_series.py
@@ -0,0 +1,135 @@
+"""The attempts of one request, one after the other."""
+
+import time
+
+from ebonypick import errors
+from ebonypick.process import _server_attempt
+from ebonypick import request
+from ebonypick import version
+
+# A repeat that leaves less time than this share of the usual work is not
+# worth a slot.
+REPEAT_LEAST_SHARE = 0.5
+# What was turned away by a server may come back after about this time.
+TURNED_RETRY_S = 0.5
+
+
+class AttemptSeries:
+    """Makes attempts until one gives an answer.
+
+    Parameters
+    ==========
+    node : SteeringHost
+        Owner of the connections and of the decisions' state.
+    job : Job
+        The request.
+    """
+
+    def __init__(self, node, job):
+        self._node = node
+        self._job = job
+        self._made = []
+        self._tried = set()
+        # Whether a server may have run the request.
+        self._may_have_run = False
+        # A server's failure, for the case that no attempt gives a better
+        # answer.
+        self.failure = None
+
+    @property
+    def sent(self):
+        """How many attempts reached a connection."""
+        return sum(attempt.sent for attempt in self._made)
+
+    @property
+    def status(self):
+        """The status that an attempt passed on; 0 where none did."""
+        return max((a.status for a in self._made), default=0)
+
+    async def run(self):
+        """Return how the attempt ended that gives the answer.
+
+        A server's failure is the answer where no attempt gives a better one.
+
+        Raises
+        ======
+        errors.EbonypickError
+            With the outcome that is known, where there is no answer.
+        """
+        try:
+            return await self._try_in_turn()
+        except (errors.UnknownOutcomeError, errors.TurnedAwayError):
+            if self.failure is None:
+                raise
+            return self.failure
+
+    async def _try_in_turn(self):
+        last = None
+        while True:
+            choice = self._node.fleet.choose(self._ask(), time.monotonic())
+            if isinstance(choice, request.Turned):
+                raise self._turned_error(choice)
+            if last is not None and last.arrived and not self._may_repeat():
+                raise self._final_error(last)
+            last = await self._attempt(choice)
+            if last.final:
+                return last
+            if last.outcome is not request.Outcome.NOT_RUN:
+                if not self._job.route.kind.idempotent:
+                    raise self._final_error(last)
+            if self.sent >= self._job.route.attempts_most:
+                raise self._final_error(last)
+            if not self._job.body.repeatable:
+                raise self._final_error(last)
+
+    def _ask(self):
+        job = self._job
+        return request.Ask(
+            job.service,
+            job.object_key,
+            job.route.regions,
+            job.route.priority,
+            job.remaining_s(),
+            frozenset(self._tried),
+            job.route.kind is version.RequestKind.UPLOAD,
+        )
+
+    def _may_repeat(self):
+        work_s = self._node.fleet.work_s(self._job.service)
+        if self._job.remaining_s() < REPEAT_LEAST_SHARE * work_s:
+            return False
+        limit = self._node.repeats(self._job.service)
+        return limit.take(self._node.roster.count(), time.monotonic())
+
+    def _turned_error(self, turned):
+        if self._may_have_run:
+            return errors.UnknownOutcomeError(
+                reason=f'then no server took it: {turned.reason}'
+            )
+        return errors.TurnedAwayError(
+            service=self._job.service,
+            reason=turned.reason,
+            retry_after_s=turned.retry_after_s,
+        )
+
+    def _final_error(self, last):
+        if self._may_have_run:
+            return errors.UnknownOutcomeError(reason=last.why)
+        return errors.TurnedAwayError(
+            service=self._job.service,
+            reason=last.why,
+            retry_after_s=TURNED_RETRY_S,
+        )
+
+    async def _attempt(self, choice):
+        attempt = _server_attempt.ServerAttempt(
+            self._node, self._job, choice, self.sent + 1
+        )
+        self._tried.add(choice.entry.instance)
+        self._made.append(attempt)
+        ended = await attempt.run()
+        if ended.outcome is not request.Outcome.NOT_RUN:
+            self._may_have_run = True
+        if ended.failed and ended.answer is not None:
+            self.failure = ended
+        return ended
--- /dev/null
+++ b/ebonypick/process/_server_attempt.py
@@ -0,0 +1,289 @@
+"""One attempt of a steering host's request at a backend server."""
+
+import dataclasses
+import time
+
+from ebonypick import connection
+from ebonypick import events
+from ebonypick import platform
+from ebonypick import request
+
+BODYLESS = frozenset({'GET', 'HEAD', 'DELETE', 'OPTIONS'})
+
+
+@dataclasses.dataclass(frozen=True)
+class Job:
+    """A request that was taken in; the same for all of its attempts.
+
+    Parameters
+    ==========
+    req : connection.CallerRequest
+        The request as it came.
+    head : request.CallerHead
+        What its headers say.
+    cfg : version.TrafficConfig
+        The configuration that it is served by.
+    route : version.Route
+        Its route.
+    service : str
+        The service that its turn chose.
+    body : RequestBody
+        Its body.
+    end_at : float
+        Monotonic time by which it ends.
+    """
+
+    req: object
+    head: object
+    cfg: object
+    route: object
+    service: str
+    body: object
+    end_at: float
+
+    @property
+    def object_key(self):
+        """What the request concerns, where that decides its server."""
+        return self.head.object_key if self.route.sticky else None
+
+    def remaining_s(self):
+        """Return the time left in seconds."""
+        return self.end_at - time.monotonic()
+
+
+@dataclasses.dataclass(frozen=True)
+class Ended:
+    """How one attempt ended.
+
+    Parameters
+    ==========
+    outcome : Outcome
+        Whether the request was run.
+    why : str
+        What happened.
+    passed_on : bool
+        Whether the caller has the answer, or the start of it.
+    arrived : bool
+        Whether the request may have reached the backend server.
+    answer : connection.Answer or None
+        The answer, where the whole of it is at hand.
+    body : bytes
+        Its body.
+    failed : bool
+        Whether the answer is a failure that another attempt may better.
+    """
+
+    outcome: request.Outcome
+    why: str
+    passed_on: bool = False
+    arrived: bool = True
+    answer: connection.Answer | None = None
+    body: bytes = b''
+    failed: bool = False
+
+    @property
+    def final(self):
+        """Whether the caller has its answer, or should get this one."""
+        if self.failed:
+            return False
+        return self.passed_on or self.answer is not None
+
+
+class ServerAttempt:
+    """One attempt; owns the exchange with the server while it runs.
+
+    Parameters
+    ==========
+    node : SteeringHost
+        Owner of the connections and of the decisions' state.
+    job : Job
+        The request.
+    choice : request.Chosen
+        The server, and why.
+    number : int
+        Counts the attempts of the request that reached a connection.
+    """
+
+    def __init__(self, node, job, choice, number):
+        self._node = node
+        self._job = job
+        self._choice = choice
+        self._number = number
+        self._sent_at = time.monotonic()
+        self._ticket = node.fleet.sent(
+            choice.entry.instance, job.object_key, self._sent_at
+        )
+        self.sent = False
+        # The status that the caller was given, if it was this attempt's.
+        self.status = 0
+
+    async def run(self):
+        """Make the attempt; return how it ended."""
+        fleet = self._node.fleet
+        entry = self._choice.entry
+        self._log_sent()
+        try:
+            ended = await self._exchange(entry)
+        except connection.ConnectFailedError as exc:
+            fleet.unreachable(entry.instance, time.monotonic())
+            ended = Ended(
+                request.Outcome.NOT_RUN, f'no connection: {exc}', arrived=False
+            )
+        except connection.LostError as exc:
+            ended = Ended(request.Outcome.UNKNOWN, str(exc))
+        finally:
+            fleet.ended(self._ticket, time.monotonic())
+        if not ended.final:
+            self._log_ended(ended)
+        self._node.metrics.attempts.labels(
+            self._job.service, str(ended.outcome)
+        ).inc()
+        return ended
+
+    def _log_sent(self):
+        events.SENT.log(
+            req=self._job.head.req,
+            route=self._job.route.name,
+            service=self._job.service,
+            backend=self._choice.entry.instance,
+            attempt=self._number,
+            why=self._choice.why,
+            on_hand=round(self._choice.on_hand, 2),
+            report_age_s=self._choice.report_age_s,
+            config=self._job.cfg.number,
+        )
+
+    def _log_ended(self, ended):
+        events.ATTEMPT_ENDED.log(
+            req=self._job.head.req,
+            backend=self._choice.entry.instance,
+            outcome=str(ended.outcome),
+            why=ended.why,
+            took_ms=round((time.monotonic() - self._sent_at) * 1000),
+        )
+
+    def _is_ours(self, status, by_name):
+        found = platform.answer_head(status, by_name).req
+        if found == self._job.head.req:
+            return True
+        events.FOREIGN_ANSWER.log(req=self._job.head.req, found=found)
+        return False
+
+    async def _exchange(self, entry):
+        async with self._node.pool(entry).connection() as conn:
+            self.sent = True
+            await self._send(conn, entry)
+            answer = await conn.head()
+            head = platform.answer_head(answer.status, answer.by_name)
+            start, whole = await conn.read_start()
+            failed = answer.status >= 500 and not head.not_run
+            self._node.fleet.answered(
+                self._ticket, head, failed, time.monotonic()
+            )
+            ended = self._judge(answer, head)
+            if ended.answer is None:
+                return ended
+            if whole:
+                return dataclasses.replace(ended, body=start)
+            if ended.failed:
+                # Too long to be kept for the case that no other is made.
+                return dataclasses.replace(ended, answer=None)
+            return await self._stream(conn, answer, start)
+
+    async def _send(self, conn, entry):
+        req = self._job.req
+        rows = platform.forward_head(
+            req, entry.instance, self._job.remaining_s()
+        )
+        method = req.method
+        data = self._job.body.data(_no_pace)
+        whole = data is None or isinstance(data, bytes)
+        if whole:
+            length = len(data or b'')
+            if method in BODYLESS and not length:
+                length = None
+        else:
+            length = req.content_length
+            if length is None:
+                rows.append(('transfer-encoding', 'chunked'))
+        first = connection.request_bytes(method, req.target, rows, length)
+        if whole:
+            conn.start(first + (data or b''), self._is_ours, method == 'HEAD')
+            return
+        conn.start(first, self._is_ours, method == 'HEAD')
+        await self._send_long(conn, data, length is None)
+
+    async def _send_long(self, conn, data, chunked):
+        """Send a body that is longer than what is held."""
+        async for part in data:
+            if conn.answering:
+                # An early answer: the rest is not wanted, and the
+                # connection cannot be used for anything else.
+                conn.close_after()
+                return
+            if chunked:
+                part = b'%x\r\n%b\r\n' % (len(part), part)
+            conn.write(part)
+            await conn.drained()
+        if chunked:
+            conn.write(b'0\r\n\r\n')
+
+    def _judge(self, answer, head):
+        """Return what an answer means for the request."""
+        verdict = request.judge(answer.status, head)
+        if verdict.outcome is not request.Outcome.DONE:
+            return Ended(verdict.outcome, verdict.why)
+        failed = answer.status >= 500 and self._may_follow()
+        return Ended(
+            verdict.outcome, verdict.why, answer=answer, failed=failed
+        )
+
+    def _may_follow(self):
+        """Return whether another attempt may be made for this one."""
+        job = self._job
+        return (
+            job.route.kind.idempotent
+            and self._number < job.route.attempts_most
+            and job.body.repeatable
+            and job.remaining_s() > self._node.fleet.work_s(job.service)
+        )
+
+    async def _stream(self, conn, answer, start):
+        """Pass a long answer on while it arrives."""
+        self.status = answer.status
+        req = self._job.req
+        if self._node.leaving:
+            req.close_after()
+        length = answer.by_name.get('content-length')
+        await req.start(
+            answer.status,
+            passed_on(answer.headers),
+            int(length) if length is not None else None,
+        )
+        try:
+            part = start
+            while part:
+                await req.write(part)
+                part = await conn.read()
+            await req.end()
+        except connection.LostError as exc:
+            req.abort()
+            return Ended(
+                request.Outcome.UNKNOWN, f'cut: {exc}', passed_on=True
+            )
+        return Ended(
+            request.Outcome.DONE, f'status {answer.status}', passed_on=True
+        )
+
+
+def passed_on(headers):
+    """Return the headers of an answer that go on to the caller."""
+    return [
+        (name, value)
+        for name, value in connection.headers.end_to_end(headers)
+        if name.lower() != 'content-length'
+    ]
+
+
+async def _no_pace(size):
+    return None
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -84,6 +84,7 @@
     shed: int = 0
     hang: int = 0
     garbage: int = 0
+    fail: int = 0
 
 
 class Upstream:
@@ -317,6 +318,9 @@
         if self._take('garbage'):
             writer.write(b'\x00\x01 no answer\r\n\r\n')
             return True
+        if self._take('fail'):
+            self._answer(writer, headers, 500, b'failed')
+            return True
         if self._take('cut'):
             self._answer(writer, headers, 200, body, cut=True)
             writer.close()
--- a/tests/features/steering.feature
+++ b/tests/features/steering.feature
@@ -20,6 +20,7 @@
       | servers answer without a length          | 95     |
       | servers send what is no answer           | 85     |
       | servers shed                             | 95     |
+      | servers fail                             | 85     |
       | a server crashes and restarts            | 85     |
       | a server's address goes to another one   | 85     |
       | a server drains and ends                 | 95     |
--- a/tests/steering_world.py
+++ b/tests/steering_world.py
@@ -371,7 +371,7 @@
             found.append(f'{call.req}: a success without a seal')
         if not call.safe and len(own) > 1:
             found.append(f'{call.req}: ran {len(own)} times')
-        if call.status in PROMISES and own and not call.safe:
+        if call.status in PROMISES and own:
             found.append(f'{call.req}: {call.status}, and it ran')
         if len(own) > 2:
             found.append(f'{call.req}: more runs than attempts')
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -43,6 +43,7 @@
     ('servers answer without a length', 'unframed'),
     ('servers send what is no answer', 'garbage'),
     ('servers shed', 'shed'),
+    ('servers fail', 'fail'),
 ):
     troubles.register(text)(_fault(fault))
 
@@ -353,6 +354,43 @@
     assert waited_s < steering_world.DEADLINE_S
 
 
+def _read_spoilt_once(tmp_path, fault):
+    """Let the home spoil a read after the run, and the others shed it.
+
+    Returns
+    =======
+    tuple
+        The call, the ids that the home ran, and the home's name.
+    """
+
+    async def play(world, session):
+        name = next(iter(world.processes))
+        await world.call(session, name, 'read', key=1)
+        (home,) = [s for s in world.upstreams if s.runs]
+        setattr(home.faults, fault, 1)
+        for server in world.of('registry'):
+            if server is not home:
+                server.faults.shed = 9
+        call = await world.call(session, name, 'read', key=1)
+        assert steering_world.violations(world) == []
+        return call, [run.req for run in home.runs], home.instance
+
+    return _scene(tmp_path, play)
+
+
+def test_a_read_that_ran_is_never_said_not_to_have_run(tmp_path):
+    call, ran, _ = _read_spoilt_once(tmp_path, 'reset')
+    assert call.req in ran
+    assert call.status == 502
+
+
+def test_a_server_s_failure_is_passed_on_where_no_other_serves(tmp_path):
+    call, ran, home = _read_spoilt_once(tmp_path, 'fail')
+    assert call.req in ran
+    assert (call.status, call.answer) == (500, b'failed')
+    assert call.headers['server-seal'] == home
+
+
 async def _raw(address, data):
     """Send bytes to a host; return the status of the answer and the rest."""
     reader, writer = await asyncio.open_connection(address, 8461)
