Move the time of day of hosts in the soak

Cause: the soak disturbed no clock, though a host takes its incarnation from the time of day.

Change: hosts of the soak run below a launcher that reads a step from a file; a drawn trouble moves the clocks of one to three hosts by 2 s, a minute or an hour, either way, and restarts one of them in half of the cases. The step alone counts as no trouble, so all promises hold during it.

Ruled out: a library that replaces the system's calls (nothing of the kind is installed), and moving the machine's clock.

--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -18,6 +18,8 @@
 SPOILED += ('shed', 'hang', 'garbage')
 DELAY_S = 0.3
 COLD_S = 3.0
+# The platform's own steps, and an hour.
+STEPS_S = (2.0, 60.0, 3600.0)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -125,6 +127,24 @@
         await asyncio.sleep(for_s / 3)
 
 
+@troubles.register('clocks step')
+async def step_clocks(world, rng, for_s):
+    """Move the time of day of hosts, and back; some restart meanwhile.
+
+    Nothing that a host promises rests on the time of day, so the step alone
+    counts as no trouble.
+    """
+    names = _running(world, rng, rng.randint(1, 3))
+    for name in names:
+        world.step_clock(name, rng.choice((-1, 1)) * rng.choice(STEPS_S))
+    if rng.random() < 0.5:
+        with world.trouble(names[0]):
+            await world.restart_host(names[0], signal.SIGKILL, 0.3)
+    await asyncio.sleep(for_s)
+    for name in names:
+        world.step_clock(name, 0)
+
+
 # Connections.
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -182,6 +182,17 @@
         await super().ready(name)
         self._ready[name] = lifetime
 
+    def _program(self, name):
+        clock = self.folder / f'{name}.clock'
+        return ('tests.soak.clocked', str(clock), 'ebonypick.steering')
+
+    def step_clock(self, name, seconds):
+        """Move a host's time of day, so many seconds from the true one."""
+        path = self.folder / f'{name}.clock'
+        whole = path.with_suffix('.new')
+        whole.write_text(str(seconds))
+        whole.replace(path)
+
     def hang_up(self, name):
         """Send SIGHUP, once the interpreter runs our code."""
         age_s = time.monotonic() - self._started_at[name]
--- a/tests/steering_world.py
+++ b/tests/steering_world.py
@@ -240,13 +240,17 @@
             self.processes[name] = await asyncio.create_subprocess_exec(
                 sys.executable,
                 '-m',
-                'ebonypick.steering',
+                *self._program(name),
                 f'--settings={path}',
                 stdout=log,
                 stderr=log,
                 cwd=ROOT,
             )
 
+    def _program(self, name):
+        """Return the module that a host runs, and what goes before flags."""
+        return ('ebonypick.steering',)
+
     async def end_host(self, name, number):
         """Send a signal that ends a host; return its exit code."""
         process = self.processes.pop(name)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,10 @@
 """A short seeded part of the soak, and every schedule that ever failed."""
 
+import os
+import subprocess
+import sys
+import time
+
 import pytest
 
 from tests.soak import main
@@ -36,3 +41,16 @@
 def test_a_schedule_is_the_same_for_the_same_seed():
     assert schedule.draw(5, 12.0) == schedule.draw(5, 12.0)
     assert schedule.draw(5, 12.0) != schedule.draw(6, 12.0)
+
+
+def test_a_host_s_clock_follows_its_file(tmp_path):
+    (tmp_path / 'tell.py').write_text('import time; print(time.time())\n')
+    clock = tmp_path / 'clock'
+    clock.write_text('-3600')
+    found = subprocess.run(
+        [sys.executable, '-m', 'tests.soak.clocked', str(clock), 'tell'],
+        env={**os.environ, 'PYTHONPATH': str(tmp_path)},
+        capture_output=True,
+        check=True,
+    )
+    assert float(found.stdout) < time.time() - 3000
