--- a/ebonypick/experiment/_object_policies.py
+++ b/ebonypick/experiment/_object_policies.py
@@ -47,3 +47,31 @@
     fleet = _ByLoad(host, centre, regions, rng)
     fleet.candidates = 2
     return fleet
+
+
+class _NearFirst(_ByLoad):
+    """Some servers of the caller's region; others where those are full."""
+
+    near_most = 3
+
+    def _pick(self, ask, usable, cold, now):
+        here = self._regions[self._data_centre]
+        near = [
+            server
+            for server in usable
+            if server.region == here and server.on_hand(now) < 1.0
+        ]
+        return super()._pick(ask, near or usable, cold, now)
+
+    def _ranking(self, ask):
+        here = self._regions[self._data_centre]
+        names = super()._ranking(ask)
+        near = [n for n in names if self._servers[n].region == here]
+        far = [n for n in names if self._servers[n].region != here]
+        return near[: self.near_most] + far
+
+
+@policies.register('near-first')
+def make_near_first(host, centre, regions, rng):
+    """Baseline: other regions get what finds no free slot in the own one."""
+    return _NearFirst(host, centre, regions, rng)
--- a/ebonypick/experiment/_objects.py
+++ b/ebonypick/experiment/_objects.py
@@ -98,6 +98,8 @@
         self.earned = collections.Counter()
         self.owed = collections.Counter()
         self.counts = collections.Counter()
+        # Runs by window, region of the caller and region of the server.
+        self.runs = collections.Counter()
         self._regions = {
             f'{region}{side}': str(region)
             for side in 'ab'
@@ -239,6 +241,9 @@
         server.running += 1
         attempt.started = True
         self.counts['ran'] += 1
+        there = self._regions[server.entry.data_centre]
+        here = self._regions[attempt.centre]
+        self.runs[int(now / WINDOW_S), here, there] += 1
         warm = attempt.key in server.objects
         self.counts['cold'] += not warm
         work_s = server.work_s(attempt.cls, attempt.key, self._rng)
--- a/ebonypick/experiment/tests/test_objects.py
+++ b/ebonypick/experiment/tests/test_objects.py
@@ -1,5 +1,8 @@
 """Loads that keep all slots busy unless servers stay warm."""
 
+import dataclasses
+import itertools
+
 import pytest
 
 from ebonypick.experiment import _object_policies
@@ -66,3 +69,61 @@
     blind = _objects.play('headroom', 'objects', per_s, SECONDS, SEED, trouble)
     assert found['failed'] < blind['failed']
     assert found['worth'] >= blind['worth']
+
+
+# So many times the deployment: the share of a window is then no matter of a
+# few requests.
+WIDE = 10
+# Part of a region's requests that may run elsewhere from a window to the
+# next, by the users' rules.
+SHIFT_MOST = 0.15
+
+
+def _wide(site):
+    classes = tuple(
+        dataclasses.replace(cls, objects=WIDE * cls.objects)
+        for cls in site.classes
+    )
+    servers = tuple(WIDE * count for count in site.servers)
+    return dataclasses.replace(site, servers=servers, classes=classes)
+
+
+def _shifts(play):
+    """Return each change of where a region's requests run, by its window.
+
+    The first window is left out: hosts and servers have just started.
+    """
+    last = max(window for window, _, _ in play.runs)
+    for region in {here for _, here, _ in play.runs}:
+        shares = []
+        for window in range(1, last):
+            counts = {
+                there: count
+                for (at, here, there), count in play.runs.items()
+                if (at, here) == (window, region)
+            }
+            total = sum(counts.values())
+            shares.append({t: n / total for t, n in counts.items()})
+        for old, new in itertools.pairwise(shares):
+            yield sum(max(0.0, new[t] - old.get(t, 0.0)) for t in new)
+
+
+@pytest.mark.parametrize(
+    ('site', 'per_s'), [('latency', 1000), ('latency', 1300)]
+)
+def test_swings_of_traffic_move_few_requests_to_other_regions(site, per_s):
+    """More work than slots, and peaks that go from region to region."""
+    play = _objects.ObjectPlay(
+        _wide(_object_sites.SITES[site]), 'objects', per_s, 20.0, SEED
+    )
+    play.run()
+    assert max(_shifts(play)) <= SHIFT_MOST
+
+
+def test_overflow_from_full_regions_would_move_more():
+    """Homes that are the same at any load are what keeps requests there."""
+    play = _objects.ObjectPlay(
+        _wide(_object_sites.SITES['latency']), 'near-first', 1000, 20.0, SEED
+    )
+    play.run()
+    assert max(_shifts(play)) > SHIFT_MOST
