Test that few hosts ask the store, also when it comes back

Change: the stand-in keeps who called it and when; eight real hosts are run in calm, through an outage, and to a version accepted on its return. At most two hosts of a region may call, at their shortest pauses, and all hosts must serve the new version.

Ruled out: counting 429 answers; eight hosts are far below the store's rates, so that nothing would fail.

--- a/bin/prove_needed.py
+++ b/bin/prove_needed.py
@@ -209,6 +209,30 @@
         'if True:',
         ('ebonypick/request/tests/test_nearness.py',),
     ),
+    Cut(
+        'few calls of the store',
+        'two readers for each region',
+        'ebonypick/process/_roster.py',
+        'READERS = 2',
+        'READERS = 99',
+        ('tests/test_store_load.py',),
+    ),
+    Cut(
+        'not-run is true',
+        'what earlier attempts may have done is remembered',
+        'ebonypick/process/_attempt_series.py',
+        'self._may_have_run = True',
+        'pass',
+        ('tests/test_steering.py', '-k', 'never_said'),
+    ),
+    Cut(
+        'ready answers are delivered',
+        "a server's failure is kept while another attempt is made",
+        'ebonypick/process/_attempt_series.py',
+        'self.failure = ended',
+        'pass',
+        ('tests/test_steering.py', '-k', 'failure_is_passed'),
+    ),
 )
 
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -22,6 +22,25 @@
 FEED_POLL_S = 0.01
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreCall:
+    """A call that reached the store, whether it was served or not.
+
+    Parameters
+    ==========
+    at : float
+        Monotonic time.
+    client : str
+        IP number that sent it.
+    name : str
+        The first part of its path.
+    """
+
+    at: float
+    client: str
+    name: str
+
+
 @dataclasses.dataclass
 class StoreFaults:
     """Faults on request.
@@ -74,7 +93,7 @@
         self._rewrite = rewrite
         self.faults = StoreFaults()
         self.calls = collections.Counter()
-        self.by_caller = collections.Counter()
+        self.call_log = []
         self.writes = 0
         self._rows = {}
         self._objects = {}
@@ -146,8 +165,9 @@
         return counts[kind] <= self._limits[kind]
 
     async def _handle(self, req):
-        self.calls[req.path.split('/')[1]] += 1
-        self.by_caller[req.client] += 1
+        name = req.path.split('/')[1]
+        self.calls[name] += 1
+        self.call_log.append(StoreCall(time.monotonic(), req.client, name))
         self.writes += req.method == 'POST'
         if self.faults.silent:
             await asyncio.sleep(3600)
--- a/tests/steering_world.py
+++ b/tests/steering_world.py
@@ -387,3 +387,26 @@
             elif (run.target, run.digest) != (call.target, call.digest):
                 found.append(f'{req}: changed on its way')
     return found
+
+
+def run_scene(folder, seed, play, **more):
+    """Run a coroutine function with a deployment; return what it returns.
+
+    Parameters
+    ==========
+    folder : pathlib.Path
+        For settings and logs.
+    seed : int
+        Of the callers' choices.
+    play : callable
+        Gets the deployment and a session of HTTP.
+    more : dict
+        Of ``SteeringWorld``.
+    """
+
+    async def run():
+        async with SteeringWorld(folder, seed, **more) as world:
+            async with aiohttp.ClientSession() as session:
+                return await play(world, session)
+
+    return asyncio.run(run())
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -3,7 +3,6 @@
 import asyncio
 import signal
 
-import aiohttp
 import pytest_bdd
 
 from ebonypick import registry
@@ -220,14 +219,8 @@
     assert 100 * len(served) >= percent * len(world.calls), others
 
 
-def _scene(tmp_path, play, **more):
-    async def run_scene():
-        world = steering_world.SteeringWorld(tmp_path, SEED, **more)
-        async with world:
-            async with aiohttp.ClientSession() as session:
-                return await play(world, session)
-
-    return asyncio.run(run_scene())
+def _scene(tmp_path, play):
+    return steering_world.run_scene(tmp_path, SEED, play)
 
 
 def test_a_host_without_a_configuration_answers_503_and_is_not_ready(
--- /dev/null
+++ b/tests/test_store_load.py
@@ -0,0 +1,64 @@
+"""What steering hosts ask of the store, as real processes.
+
+Load: many hosts, and a store that comes back after all of them lost it. If
+each host read it, its rate would be used up by hosts that only wait, and all
+would come at once on its return.
+"""
+
+import asyncio
+import time
+
+from ebonypick.process import _tables
+from tests import steering_world
+
+SEED = 61
+# In each of two data centres, which are regions of their own.
+HOSTS = 4
+TABLES = 3
+# Two readers for each region, as the design says, and what each asks for one table in a second at
+# its shortest pauses.
+READERS_MOST = 2 * len(steering_world.REGIONS)
+CALLS_MOST = READERS_MOST * TABLES * (1 + 1 / _tables.RETRY_FIRST_S)
+# Until hosts agree who lives: their first messages and the last old feed.
+SETTLED_S = 2.0 + _tables.WATCH_S
+OUTAGE_S = 3.0
+
+
+def _most_in_a_second(calls):
+    times = sorted(call.at for call in calls)
+    return max(sum(at <= t < at + 1.0 for t in times) for at in times)
+
+
+def _feeds(world, start):
+    calls = [c for c in world.store.call_log if c.at >= start]
+    return [c for c in calls if c.name.startswith('rows-')]
+
+
+def test_few_hosts_read_the_store_also_when_it_comes_back(tmp_path):
+    async def play(world, session):
+        await asyncio.sleep(SETTLED_S)
+        start = time.monotonic()
+        await asyncio.sleep(_tables.WATCH_S)
+        calm = _feeds(world, start)
+        start = time.monotonic()
+        world.store.faults.down = True
+        await asyncio.sleep(OUTAGE_S)
+        world.store.faults.down = False
+        world.config_number = 9
+        cfg = steering_world.make_config(world.config_number)
+        cfg['hosts'][0]['paths'][0]['prefix'] = '/new/'
+        world.store.put('op', 'config', cfg)
+        await asyncio.sleep(_tables.RETRY_MOST_S + 1.0)
+        statuses = [
+            (await world.call(session, name, 'new')).status
+            for name in world.processes
+        ]
+        return calm, _feeds(world, start), statuses
+
+    calm, trouble, statuses = steering_world.run_scene(
+        tmp_path, SEED, play, hosts=HOSTS
+    )
+    assert statuses == [200] * HOSTS * len(steering_world.REGIONS)
+    for calls in (calm, trouble):
+        assert 0 < len({call.client for call in calls}) <= READERS_MOST
+        assert _most_in_a_second(calls) <= CALLS_MOST
