--- a/tests/test_store_load.py
+++ b/tests/test_store_load.py
@@ -15,8 +15,8 @@
 # In each of two data centres, which are regions of their own.
 HOSTS = 4
 TABLES = 3
-# Two readers for each region, as the design says, and what each asks for one table in a second at
-# its shortest pauses.
+# Two readers for each region, as the design says, and what each asks for one
+# table in a second at its shortest pauses.
 READERS_MOST = 2 * len(steering_world.REGIONS)
 CALLS_MOST = READERS_MOST * TABLES * (1 + 1 / _tables.RETRY_FIRST_S)
 # Until hosts agree who lives: their first messages and the last old feed.
