--- a/tests/test_store_load.py
+++ b/tests/test_store_load.py
@@ -22,6 +22,13 @@
 # Until hosts agree who lives: their first messages and the last old feed.
 SETTLED_S = 2.0 + _tables.WATCH_S
 OUTAGE_S = 3.0
+# Within which a version is in force at hosts in touch, by the users' rules.
+APPLIED_S = 2.5
+GIVE_UP_S = 10.0
+
+
+def _since(at):
+    return time.monotonic() - at
 
 
 def _most_in_a_second(calls):
@@ -34,6 +41,15 @@
     return [c for c in calls if c.name.startswith('rows-')]
 
 
+def _accept_new_route(world):
+    """Accept a version with a route that no earlier one has."""
+    world.config_number += 8
+    cfg = steering_world.make_config(world.config_number)
+    paths = cfg['hosts'][0]['paths']
+    paths.append({**paths[0], 'name': 'new', 'prefix': '/new/'})
+    world.store.put('op', 'config', cfg)
+
+
 def test_few_hosts_read_the_store_also_when_it_comes_back(tmp_path):
     async def play(world, session):
         await asyncio.sleep(SETTLED_S)
@@ -44,10 +60,7 @@
         world.store.faults.down = True
         await asyncio.sleep(OUTAGE_S)
         world.store.faults.down = False
-        world.config_number = 9
-        cfg = steering_world.make_config(world.config_number)
-        cfg['hosts'][0]['paths'][0]['prefix'] = '/new/'
-        world.store.put('op', 'config', cfg)
+        _accept_new_route(world)
         await asyncio.sleep(_tables.RETRY_MOST_S + 1.0)
         statuses = [
             (await world.call(session, name, 'new')).status
@@ -62,3 +75,29 @@
     for calls in (calm, trouble):
         assert 0 < len({call.client for call in calls}) <= READERS_MOST
         assert _most_in_a_second(calls) <= CALLS_MOST
+
+
+def test_hosts_that_the_store_turns_away_hear_of_a_version_in_time(tmp_path):
+    """All readers of a region are turned away; another host takes over."""
+
+    async def play(world, session):
+        await asyncio.sleep(SETTLED_S)
+        centre = next(iter(steering_world.REGIONS))
+        names = [n for n in world.processes if n.startswith(centre)]
+        away = names[:-1]
+        world.store.faults.turned_away |= {world.address(n) for n in away}
+        await asyncio.sleep(1.0)
+        _accept_new_route(world)
+        accepted_at = time.monotonic()
+        times = {}
+        while len(times) < len(names) and _since(accepted_at) < GIVE_UP_S:
+            for name in set(names) - set(times):
+                call = await world.call(session, name, 'new')
+                if call.status == 200:
+                    times[name] = _since(accepted_at)
+            await asyncio.sleep(0.05)
+        return names, times
+
+    names, times = steering_world.run_scene(tmp_path, SEED, play, hosts=HOSTS)
+    assert set(times) == set(names)
+    assert max(times.values()) <= APPLIED_S
