Split the scenes of steering hosts, and restart servers in one place

Change: single requests are in tests/test_steering_host.py; SteeringWorld has restart_server. No check changed.

--- a/bin/prove_needed.py
+++ b/bin/prove_needed.py
@@ -223,7 +223,7 @@
         'ebonypick/process/_attempt_series.py',
         'self._may_have_run = True',
         'pass',
-        ('tests/test_steering.py', '-k', 'never_said'),
+        ('tests/test_steering_host.py', '-k', 'never_said'),
     ),
     Cut(
         'ready answers are delivered',
@@ -231,7 +231,7 @@
         'ebonypick/process/_attempt_series.py',
         'self.failure = ended',
         'pass',
-        ('tests/test_steering.py', '-k', 'failure_is_passed'),
+        ('tests/test_steering_host.py', '-k', 'failure_is_passed'),
     ),
 )
 
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -255,13 +255,11 @@
 async def crash_server(world, rng, for_s):
     """Crash a server; it starts again cold, under its name or a new one."""
     server = rng.choice(world.upstreams)
-    old = server.instance
+    name = rng.choice((server.instance, None))
     with world.trouble('servers'):
-        await server.crash()
-        await asyncio.sleep(for_s)
-        server.warmup_left_s = COLD_S
-        await server.restart(rng.choice((old, None)))
-        world.register(server)
+        old = await world.restart_server(
+            server, for_s, name, warmup_left_s=COLD_S
+        )
         if server.instance != old:
             world.store.remove('servers', old)
         await asyncio.sleep(COLD_S)
@@ -275,12 +273,8 @@
     server = rng.choice(world.of('registry'))
     if len(world.of('registry')) < 3:
         return
-    old = server.instance
     with world.trouble('servers'):
-        await server.crash()
-        server.service = 'evidence'
-        await server.restart()
-        world.register(server)
+        old = await world.restart_server(server, service='evidence')
         await asyncio.sleep(for_s)
         world.store.remove('servers', old)
 
@@ -297,10 +291,8 @@
     await asyncio.sleep(soak_world.DRAIN_S + for_s)
     world.store.remove('servers', name)
     with world.trouble('servers'):
-        await server.crash()
         server.draining = False
-        await server.restart()
-        world.register(server)
+        await world.restart_server(server)
 
 
 @troubles.register('answers spoilt')
--- a/tests/steering_world.py
+++ b/tests/steering_world.py
@@ -197,6 +197,43 @@
         """Write a backend server's entry."""
         self.store.put('servers', server.instance, server.entry())
 
+    async def restart_server(
+        self,
+        server,
+        pause_s=0.0,
+        instance=None,
+        service=None,
+        warmup_left_s=0.0,
+    ):
+        """Crash a backend server and start it again; register it anew.
+
+        Parameters
+        ==========
+        server : upstream.Upstream
+            The server.
+        pause_s : float
+            Time for which it is down, in seconds.
+        instance : str, optional
+            Its new name; one that nobody has by default.
+        service : str, optional
+            What it serves from now on.
+        warmup_left_s : float
+            Time for which it says that it is cold, in seconds.
+
+        Returns
+        =======
+        str
+            Its old name, whose row is still in the store.
+        """
+        old = server.instance
+        await server.crash()
+        await asyncio.sleep(pause_s)
+        server.service = service or server.service
+        server.warmup_left_s = warmup_left_s
+        await server.restart(instance)
+        self.register(server)
+        return old
+
     def of(self, service):
         """Return a service's backend servers."""
         return [s for s in self.upstreams if s.service == service]
