Never send a kept failure after the start of another answer

A read whose first server failed and whose second one stalls in the middle of a long answer reached its timeout with the failure kept; it was sent although the other answer had begun.

Change: the failure is passed on only where nothing has been sent; else the caller's connection breaks, as for any answer that cannot be completed. The stand-in can stall in a long answer.

Ruled out: answers below 256 KB, which are held until they are whole.

--- a/bin/prove_needed.py
+++ b/bin/prove_needed.py
@@ -233,6 +233,14 @@
         'pass',
         ('tests/test_steering_host.py', '-k', 'failure_is_passed'),
     ),
+    Cut(
+        'every caller gets its own whole answer',
+        'no answer follows the start of another',
+        'ebonypick/process/_forward.py',
+        'if ended is None or self._req.started:',
+        'if ended is None:',
+        ('tests/test_steering_host.py', '-k', 'never_follows'),
+    ),
 )
 
 
--- a/ebonypick/process/_forward.py
+++ b/ebonypick/process/_forward.py
@@ -90,7 +90,7 @@
                 ended = await series.run()
         except TimeoutError:
             ended = series.failure
-            if ended is None:
+            if ended is None or self._req.started:
                 raise self._timeout_error(series.sent) from None
         finally:
             self._status = series.status
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -12,6 +12,8 @@
 import time
 
 _numbers = itertools.count(1)
+# Of a stalled answer: more than any host holds, and what comes of it.
+STALLED_BYTES, STALLED_AFTER_BYTES = 900_000, 600_000
 # How often a run looks whether its caller is still there.
 WORK_STEP_S = 0.01
 
@@ -85,6 +87,7 @@
     hang: int = 0
     garbage: int = 0
     fail: int = 0
+    stall: int = 0
 
 
 class Upstream:
@@ -312,6 +315,10 @@
         if self._take('reset'):
             writer.transport.abort()
             return False
+        if self._take('stall'):
+            whole = bytes(STALLED_BYTES)
+            self._answer(writer, headers, 200, whole, sent=STALLED_AFTER_BYTES)
+            await self._work_for(3600, reader)
         return self._finish(writer, headers, run.req.encode() + b'=' + body)
 
     def _finish(self, writer, headers, body):
@@ -322,7 +329,7 @@
             self._answer(writer, headers, 500, b'failed')
             return True
         if self._take('cut'):
-            self._answer(writer, headers, 200, body, cut=True)
+            self._answer(writer, headers, 200, body, sent=len(body) // 2)
             writer.close()
             return False
         if self._take('unframed'):
@@ -348,7 +355,7 @@
         body,
         sealed=True,
         framed=True,
-        cut=False,
+        sent=None,
     ):
         rows = [f'HTTP/1.1 {status} X', f'Server-Load: {self._load()}']
         rows.append(f'Attempt-Id: {headers.get("attempt-id", "")}')
@@ -361,9 +368,7 @@
         if framed:
             rows.append(f'Content-Length: {len(body)}')
         head = '\r\n'.join(rows) + '\r\n\r\n'
-        if cut:
-            body = body[: len(body) // 2]
-        writer.write(head.encode() + body)
+        writer.write(head.encode() + body[:sent])
 
     def _load(self):
         return f'{self._running},{self._waiting},{self._slot_count}'
--- a/tests/test_steering_host.py
+++ b/tests/test_steering_host.py
@@ -136,13 +136,18 @@
     assert waited_s < steering_world.DEADLINE_S
 
 
-def _read_spoilt_once(tmp_path, fault):
+def _read_spoilt_once(tmp_path, fault, others='shed'):
     """Let the home spoil a read after the run, and the others shed it.
 
+    Parameters
+    ==========
+    fault, others : str
+        Faults of the home and of all other servers.
+
     Returns
     =======
     tuple
-        The call, the ids that the home ran, and the home's name.
+        The call, the home's name, and the host's last log line on the call.
     """
 
     async def play(world, session):
@@ -152,27 +157,41 @@
         setattr(home.faults, fault, 1)
         for server in world.of('registry'):
             if server is not home:
-                server.faults.shed = 9
+                setattr(server.faults, others, 9)
         call = await world.call(session, name, 'read', key=1)
         assert steering_world.violations(world) == []
-        return call, [run.req for run in home.runs], home.instance
+        ended = {}
+        while not ended:
+            await asyncio.sleep(0.05)
+            for line in world.log_lines(name):
+                if line['message_type'] == 'EP1213':
+                    if line['req'] == call.req:
+                        ended = line
+        assert call.req in [run.req for run in home.runs]
+        return call, home.instance, ended
 
     return _scene(tmp_path, play)
 
 
 def test_a_read_that_ran_is_never_said_not_to_have_run(tmp_path):
-    call, ran, _ = _read_spoilt_once(tmp_path, 'reset')
-    assert call.req in ran
+    call, _, _ = _read_spoilt_once(tmp_path, 'reset')
     assert call.status == 502
 
 
 def test_a_server_s_failure_is_passed_on_where_no_other_serves(tmp_path):
-    call, ran, home = _read_spoilt_once(tmp_path, 'fail')
-    assert call.req in ran
+    call, home, _ = _read_spoilt_once(tmp_path, 'fail')
     assert (call.status, call.answer) == (500, b'failed')
     assert call.headers['server-seal'] == home
 
 
+def test_a_failure_never_follows_the_start_of_another_answer(tmp_path):
+    """The home fails, the next server's long answer stops half-way."""
+    call, _, ended = _read_spoilt_once(tmp_path, 'fail', others='stall')
+    # The caller's connection breaks, as its answer cannot be completed.
+    assert call.status == 0
+    assert (ended['status'], ended['outcome']) == (200, 'unknown')
+
+
 async def _raw(address, data):
     """Send bytes to a host; return the status of the answer and the rest."""
     reader, writer = await asyncio.open_connection(address, 8461)
