Test who reads the store, and take both rules away in turn

Change: tests of small regions, of a lost data centre and of regions without known hosts; prove_needed takes both rules away, and the tests fail.

--- a/bin/prove_needed.py
+++ b/bin/prove_needed.py
@@ -241,6 +241,22 @@
         'if ended is None:',
         ('tests/test_steering_host.py', '-k', 'never_follows'),
     ),
+    Cut(
+        'a configuration is in force in time',
+        'all hosts of a small region read the store',
+        'ebonypick/process/_roster.py',
+        'ALL_READ_MOST = 3',
+        'ALL_READ_MOST = 0',
+        ('ebonypick/process/tests/test_roster.py',),
+    ),
+    Cut(
+        'a configuration is in force in time',
+        'readers in different data centres',
+        'ebonypick/process/_roster.py',
+        'centre for centre, names in hosts.items() if names]',
+        'centre for centre in list(hosts)[:1]]',
+        ('ebonypick/process/tests/test_roster.py',),
+    ),
 )
 
 
--- /dev/null
+++ b/ebonypick/process/tests/test_roster.py
@@ -0,0 +1,37 @@
+"""Who reads the store, whatever hosts a region has."""
+
+import pytest
+
+from ebonypick.process import _roster
+
+
+def _hosts(*counts):
+    return {
+        f'c{number}': tuple(f'c{number}-{n}' for n in range(count))
+        for number, count in enumerate(counts)
+    }
+
+
+@pytest.mark.parametrize('counts', [(1,), (2,), (3,), (2, 1), (1, 1, 1)])
+def test_any_host_left_of_a_small_region_reads(counts):
+    """Load: all others are lost at the moment of a change."""
+    hosts = _hosts(*counts)
+    every = {name for names in hosts.values() for name in names}
+    assert set(_roster.store_readers('r', hosts)) == every
+
+
+@pytest.mark.parametrize('region', ['r', 's', 't', 'u'])
+@pytest.mark.parametrize('counts', [(3, 2), (5, 4), (100, 100, 67)])
+def test_losing_a_data_centre_leaves_a_reader(region, counts):
+    hosts = _hosts(*counts)
+    readers = set(_roster.store_readers(region, hosts))
+    assert len(readers) == 2
+    assert all(readers - set(names) for names in hosts.values())
+
+
+def test_a_region_of_one_data_centre_has_two_readers():
+    assert len(_roster.store_readers('r', _hosts(9))) == 2
+
+
+def test_a_region_whose_hosts_are_unknown_has_no_reader():
+    assert _roster.store_readers('r', {}) == ()
