Run pipelined requests at once, and answer them in order

Cause: a connection took one request after the other, so a caller that sends several at once waited for the sum of their times. Change: a stream of our own on httptools, the parser of the servers' side, serves all interfaces; at most eight requests of a connection run at once, answers wait for their turn, what must not run twice waits for the answers before it. In a stop no further request is taken, and the last answer says so. A request's time runs from when it is read. Heads are bounded, also one line that never ends. A log line whose text holds bytes that are not UTF-8 (a caller's id) ended the task that writes the log: it is written escaped now. Ruled out: a subclass of Sanic's protocol, and aiohttp's server, which queues and serves in turn (docs/PLATFORM.md).

--- a/ebonypick/connection/__init__.py
+++ b/ebonypick/connection/__init__.py
@@ -11,9 +11,9 @@
 from ebonypick.connection._backend_http import ForeignAnswerError
 from ebonypick.connection._backend_http import make_backend_link
 from ebonypick.connection._backend_http import read_start
-from ebonypick.connection._caller_http import CallerRequest
 from ebonypick.connection._caller_http import make_caller_server
 from ebonypick.connection._caller_http import problem
+from ebonypick.connection._caller_request import CallerRequest
 from ebonypick.connection._exchange import Answer
 from ebonypick.connection import _headers as headers
 from ebonypick.connection._hostlist_http import make_host_list
--- /dev/null
+++ b/ebonypick/connection/tests/test_pipelining.py
@@ -0,0 +1,293 @@
+"""Requests that are sent before earlier ones are answered."""
+
+import asyncio
+import contextlib
+import time
+
+import pytest
+
+from ebonypick import connection
+from ebonypick.connection import _caller_stream
+
+WORK_S = 0.2
+
+
+def request(path, method='GET', body=b'', **headers):
+    """Return the bytes of a request."""
+    lines = [f'{method} {path} HTTP/1.1', 'Host: a']
+    lines += [f'{name}: {value}' for name, value in headers.items()]
+    if body:
+        lines.append(f'Content-Length: {len(body)}')
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+
+
+async def read_answer(reader):
+    """Return head and body of the next answer."""
+    head = await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), 5)
+    rows = dict(
+        line.lower().split(b': ', 1) for line in head.split(b'\r\n')[1:-2]
+    )
+    size = int(rows.get(b'content-length', 0))
+    return head, await asyncio.wait_for(reader.readexactly(size), 5)
+
+
+class Scene:
+    """A server whose handler is told by each path what to do.
+
+    ``/slow`` takes WORK_S, ``/gated`` waits for the scene's gate, ``/wait``
+    for its turn, ``/close`` ends its connection, ``/big`` answers with many
+    bytes.
+    """
+
+    def __init__(self):
+        self.gate = asyncio.Event()
+        self.begun = []
+        self.ended = []
+        self.cancelled = []
+        self.running = 0
+        self.most_running = 0
+
+    async def handle(self, req):
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            await self._serve(req)
+            self.ended.append(req.path)
+        except asyncio.CancelledError:
+            self.cancelled.append(req.path)
+            raise
+        finally:
+            self.running -= 1
+
+    async def _serve(self, req):
+        if req.path.startswith('/wait'):
+            await req.turn()
+        self.begun.append(req.path)
+        while await req.read(5) is not None:
+            pass
+        if req.path.startswith(('/slow', '/stuck')):
+            await asyncio.sleep(3600 if '/stuck' in req.path else WORK_S)
+        if req.path.startswith('/gated'):
+            await self.gate.wait()
+        if req.path.startswith('/close'):
+            req.close_after()
+        if req.path.startswith('/stream'):
+            await req.start(200, [])
+            for _ in range(4):
+                await req.write(req.path.encode())
+            await req.end()
+            return
+        size = 300_000 if req.path.startswith('/big') else 0
+        await req.respond(200, [], req.path.encode() + bytes(size))
+
+
+@contextlib.asynccontextmanager
+async def serving():
+    """Give a scene, its server, and one connection to it."""
+    scene = Scene()
+    make = connection.make_caller_server
+    async with make('http', '127.0.0.1', 0, scene.handle) as server:
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', server.port
+        )
+        try:
+            yield scene, server, reader, writer
+        finally:
+            writer.close()
+
+
+def test_they_run_at_once_and_are_answered_in_order():
+    async def play():
+        async with serving() as (scene, _, reader, writer):
+            start = time.monotonic()
+            paths = ['/slow/0', '/1', '/slow/2', '/3']
+            writer.write(b''.join(map(request, paths)))
+            bodies = [(await read_answer(reader))[1] for _ in paths]
+            took_s = time.monotonic() - start
+            return paths, bodies, scene, took_s
+
+    paths, bodies, scene, took_s = asyncio.run(play())
+    assert bodies == [path.encode() for path in paths]
+    assert scene.ended[:2] == ['/1', '/3']
+    # One after the other would take at least twice the work.
+    assert took_s < 2 * WORK_S
+
+
+def test_more_than_may_run_at_once_wait_for_those_before():
+    count = 5 * _caller_stream.PIPELINED_MOST
+
+    async def play():
+        async with serving() as (scene, _, reader, writer):
+            paths = [f'/slow/{number}' for number in range(count)]
+            writer.write(b''.join(map(request, paths)))
+            bodies = [(await read_answer(reader))[1] for _ in paths]
+            return paths, bodies, scene
+
+    paths, bodies, scene = asyncio.run(play())
+    assert bodies == [path.encode() for path in paths]
+    assert scene.most_running == _caller_stream.PIPELINED_MOST
+
+
+def test_an_action_waits_for_the_answers_before_it():
+    """Its caller would send it again after an answer that closes."""
+
+    async def play():
+        async with serving() as (scene, _, reader, writer):
+            writer.write(request('/gated') + request('/wait/1'))
+            await asyncio.sleep(WORK_S)
+            before = list(scene.begun)
+            scene.gate.set()
+            await read_answer(reader)
+            return before, (await read_answer(reader))[1]
+
+    before, body = asyncio.run(play())
+    assert before == ['/gated']
+    assert body == b'/wait/1'
+
+
+def test_what_was_read_is_answered_before_the_connection_ends():
+    async def play():
+        async with serving() as (scene, _, reader, writer):
+            writer.write(request('/close/0') + request('/slow/1'))
+            first = await read_answer(reader)
+            writer.write(request('/late'))
+            second = await read_answer(reader)
+            rest = await asyncio.wait_for(reader.read(), 5)
+            return first, second, rest, scene
+
+    first, second, rest, scene = asyncio.run(play())
+    assert b'connection: close' not in first[0]
+    assert b'connection: close' in second[0]
+    assert second[1] == b'/slow/1'
+    assert rest == b''
+    assert '/late' not in scene.begun
+
+
+def test_a_caller_that_leaves_cancels_all_that_it_asked_for():
+    async def play():
+        async with serving() as (scene, server, _, writer):
+            paths = [f'/stuck/{number}' for number in range(3)]
+            writer.write(b''.join(map(request, paths)))
+            while len(scene.begun) < 3:
+                await asyncio.sleep(0.01)
+            writer.close()
+            while server.connections:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0)
+            return scene
+
+    scene = asyncio.run(play())
+    assert sorted(scene.cancelled) == ['/stuck/0', '/stuck/1', '/stuck/2']
+
+
+def test_a_request_behind_an_upload_waits_for_the_end_of_its_body():
+    async def play():
+        async with serving() as (scene, _, reader, writer):
+            whole = request('/up/0', 'POST', b'x' * 1000)
+            writer.write(whole[:-500])
+            await asyncio.sleep(0.05)
+            writer.write(whole[-500:] + request('/1'))
+            return [(await read_answer(reader))[1] for _ in range(2)]
+
+    assert asyncio.run(play()) == [b'/up/0', b'/1']
+
+
+def test_streamed_answers_are_not_mixed():
+    async def play():
+        async with serving() as (_, _, reader, writer):
+            writer.write(
+                request('/slow/0') + request('/stream/1') + request('/2')
+            )
+            await read_answer(reader)
+            return await asyncio.wait_for(reader.readuntil(b'/2'), 5)
+
+    found = asyncio.run(play())
+    streamed, _, last = found.partition(b'0\r\n\r\n')
+    assert streamed.count(b'9\r\n/stream/1\r\n') == 4
+    assert last.startswith(b'HTTP/1.1 200 OK')
+
+
+def test_answers_that_wait_stop_the_reading():
+    """What a caller can make a connection hold is bounded."""
+
+    async def play():
+        async with serving() as (scene, server, reader, writer):
+            writer.write(request('/gated'))
+            for number in range(40):
+                writer.write(request(f'/big/{number}'))
+                await asyncio.sleep(0.002)
+            await asyncio.sleep(WORK_S)
+            begun = len(scene.begun)
+            scene.gate.set()
+            bodies = [(await read_answer(reader))[1] for _ in range(41)]
+            return begun, bodies
+
+    begun, bodies = asyncio.run(play())
+    assert begun <= _caller_stream.PIPELINED_MOST
+    assert [body[:8].rstrip(b'\0') for body in bodies[1:]] == [
+        f'/big/{number}'.encode() for number in range(40)
+    ]
+
+
+@pytest.mark.parametrize(
+    ('data', 'status'),
+    [
+        (b'GET / HTTP/1.1\r\nX: ' + b'y' * 200_000, b'431'),
+        (b'GET /' + b'y' * 200_000, b'431'),
+        (b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;'
+         + b'y' * 600_000, b''),
+        (b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n'
+         + b'X: y\r\n' * 100_000, b''),
+    ],
+)  # fmt: skip
+def test_bytes_without_end_are_not_kept(data, status):
+    """A head, or what a body in chunks may hold beside its bytes."""
+
+    async def play():
+        async with serving() as (_, server, reader, writer):
+            writer.write(request('/first') + data)
+            first = await read_answer(reader)
+            rest = await asyncio.wait_for(reader.read(), 5)
+            return first, rest
+
+    first, rest = asyncio.run(play())
+    assert first[1] == b'/first'
+    assert b'HTTP/1.1 ' + status in rest
+
+
+def test_a_malformed_request_is_refused_after_those_before_it():
+    async def play():
+        async with serving() as (_, _, reader, writer):
+            writer.write(request('/slow/0') + b'nonsense\r\n\r\n')
+            first = await read_answer(reader)
+            rest = await asyncio.wait_for(reader.read(), 5)
+            return first, rest
+
+    first, rest = asyncio.run(play())
+    assert first[1] == b'/slow/0'
+    assert rest.startswith(b'HTTP/1.1 400 ')
+
+
+def test_a_head_that_does_not_come_is_told_so():
+    async def play():
+        async with serving() as (_, server, reader, writer):
+            server.set_limits(16_384, 0.2, 5.0)
+            writer.write(b'GET / HTTP/1.1\r\nHo')
+            return await asyncio.wait_for(reader.read(), 5)
+
+    assert asyncio.run(play()).startswith(b'HTTP/1.1 408 ')
+
+
+def test_an_idle_connection_is_closed():
+    async def play():
+        async with serving() as (_, server, reader, writer):
+            server.set_limits(16_384, 5.0, 0.2)
+            writer.write(request('/0'))
+            await read_answer(reader)
+            start = time.monotonic()
+            rest = await asyncio.wait_for(reader.read(), 5)
+            return rest, time.monotonic() - start
+
+    rest, took_s = asyncio.run(play())
+    assert rest == b''
+    assert 0.1 < took_s < 2.0
--- a/ebonypick/errors.py
+++ b/ebonypick/errors.py
@@ -166,6 +166,16 @@
     remedy = 'Check host and path, or add a route to the configuration.'
 
 
+class SlowHeadError(RequestError):
+    """The caller did not finish the head of its request."""
+
+    code = 'EP2013'
+    status = 408
+    message = 'The head of the request was not complete after {limit_s} s.'
+    remedy = 'Send the request again on a better link.'
+    retry_after_s = 1
+
+
 class ServingError(EbonypickError):
     """A valid request could not be served now."""
 
--- a/ebonypick/process/_forward.py
+++ b/ebonypick/process/_forward.py
@@ -31,7 +31,7 @@
     def __init__(self, node, req):
         self._node = node
         self._req = req
-        self._started_at = time.monotonic()
+        self._started_at = req.read_at
         self._head = platform.caller_request(req)
         self._cfg = node.board.version
         self._route = None
@@ -87,6 +87,8 @@
         try:
             async with asyncio.timeout_at(job.end_at):
                 await job.body.read_start()
+                if not job.route.kind.idempotent:
+                    await self._req.turn()
                 ended = await series.run()
         except TimeoutError:
             ended = series.failure
--- a/ebonypick/process/_log_sink.py
+++ b/ebonypick/process/_log_sink.py
@@ -4,7 +4,7 @@
 import collections
 import os
 
-import msgspec
+from ebonypick import json_text
 
 # Lines are written together, so that a line costs no system call.
 FLUSH_INTERVAL_S = 0.1
@@ -54,7 +54,7 @@
         parts = [self._rest]
         while self._lines:
             line = self._lines.popleft()
-            parts.append(msgspec.json.encode(line, enc_hook=str) + b'\n')
+            parts.append(json_text.encode(line) + b'\n')
         self._rest = b''.join(parts)
         while self._rest:
             try:
--- a/ebonypick/process/_node.py
+++ b/ebonypick/process/_node.py
@@ -314,7 +314,7 @@
 
     def _has_callers(self, stopped_s):
         """Return whether a planned stop has to wait for callers."""
-        if self.in_flight:
+        if self.in_flight or self._server.busy:
             return stopped_s < STOP_LONGEST_S
         return stopped_s < FIRST_REQUEST_S and self._server.expects_first
 
--- a/ebonypick/process/_relay.py
+++ b/ebonypick/process/_relay.py
@@ -36,7 +36,7 @@
         self._node = node
         self._req = req
         self._passed = passed
-        self._started_at = time.monotonic()
+        self._started_at = req.read_at
         self._intake = None
         self._body = None
         self._attempts = 0
@@ -49,6 +49,8 @@
         try:
             self._take_in()
             await self._body.read_start()
+            if not self._intake.info.idempotent:
+                await self._req.turn()
             answer = await self._serve_to_end()
         except errors.EbonypickError as exc:
             await self._refuse(exc)
--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -235,13 +235,17 @@
         self.tasks.start(self.gossip.announce())
         await asyncio.sleep(IDLE_KEPT_S)
         await self._callers.stop_listening()
-        while self.in_flight and time.monotonic() < end:
+        # Answers that slow callers still read count as well.
+        while self._has_callers() and time.monotonic() < end:
             await asyncio.sleep(STOP_POLL_S)
             self._callers.close_idle()
         events.PROCESS_STOPPED.log(
             host=self.settings.host, in_flight=self.in_flight
         )
 
+    def _has_callers(self):
+        return self.in_flight > 0 or self._callers.busy
+
     def reload(self, settings, why):
         """Take in settings that were read again."""
         changed = settings != self.settings
--- a/ebonypick/process/steering.py
+++ b/ebonypick/process/steering.py
@@ -72,7 +72,7 @@
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, reload_asked.set)
     async with _tasks.TaskGroup() as tasks:
-        tasks.start(sink.run())
+        tasks.start(_tasks.keep_running('log', sink.run))
         async with _steering_host.make_steering_host(settings) as host:
             tasks.start(_watch_settings(path, host, reload_asked))
             await stopping.wait()
