Bound what servers, hosts and the store may send

Cause: a server's head or body that never ends was read as long as it came; the rest of a store's answer, and a message of another host, had neither a bound nor a time. Change: a head has 64 KiB, also one header, the size of a part, or what follows the parts; at most 16 answers and 256 KiB that are not to the request; bytes after a whole answer end the connection at once. A connection holds at most 0.7 MB (HELD_BYTES_MOST). Messages have 8 MiB, the store's answers their time to the last byte. Messages that cannot be read are refused with 400. Ruled out: a least rate for bodies without a length; the deadline bounds them, and a caller on a slow link is served as long as it has time.

--- a/ebonypick/connection/__init__.py
+++ b/ebonypick/connection/__init__.py
@@ -26,7 +26,9 @@
 from ebonypick.connection._platform_http import Transaction
 from ebonypick.connection._pool import ConnectFailedError
 from ebonypick.connection._pool import LostError
+from ebonypick.connection._pool import MESSAGE_BYTES_MOST
 from ebonypick.connection._pool import Pool
+from ebonypick.connection._pool import read_message
 from ebonypick.connection._server_pool import request_bytes
 from ebonypick.connection._server_pool import ServerPool
 
@@ -37,6 +39,7 @@
     'ConnectFailedError',
     'ForeignAnswerError',
     'LostError',
+    'MESSAGE_BYTES_MOST',
     'PlatformClient',
     'PlatformTime',
     'Pool',
@@ -54,6 +57,7 @@
     'make_platform',
     'platform_adapters',
     'problem',
+    'read_message',
     'read_start',
     'request_bytes',
 )
--- a/ebonypick/connection/_exchange.py
+++ b/ebonypick/connection/_exchange.py
@@ -5,6 +5,9 @@
 answer hands a caller what belongs to another. Here each answer's id is
 checked before any byte of it goes on: a foreign answer is read to its end
 and dropped, and bytes on an idle connection close it.
+
+It may also send bytes without end. What is held of one answer is bounded;
+how long a body may go on is its reader's to say.
 """
 
 import asyncio
@@ -15,7 +18,9 @@
 
 import httptools
 
+from ebonypick.connection import _head_limit
 from ebonypick.connection import _pool
+from ebonypick import errors
 
 # Idle connections are kept for this share of what the server announces, so
 # that none is used in the moment in which the server closes it.
@@ -30,6 +35,17 @@
 BUFFER_BYTES = 262_144
 # An answer that is passed on stops being read at so many unsent bytes.
 PAUSE_BYTES = 131_072
+# Four times what callers may send in a head by default.
+HEAD_LIMIT_BYTES = 65_536
+# Bytes that the loop may hand over at once, past any of these bounds.
+READ_BYTES = 262_144
+# The most that a connection holds of an answer, its head included.
+HELD_BYTES_MOST = BUFFER_BYTES + PAUSE_BYTES + READ_BYTES + HEAD_LIMIT_BYTES
+# Bytes that belong to no answer of ours, before the connection is given up:
+# one late answer of the length that is held.
+FOREIGN_BYTES_MOST = BUFFER_BYTES
+# Interim and foreign answers before ours, likewise.
+OTHERS_MOST = 16
 
 
 @dataclasses.dataclass(frozen=True)
@@ -75,6 +91,9 @@
         self._reading = None
         self._rows = []
         self._skipping = False
+        self._limit = _head_limit.HeadLimit(HEAD_LIMIT_BYTES)
+        self._others = 0
+        self._foreign_bytes = 0
         self._framed = False
         self._closing = False
         self._paused = False
@@ -101,16 +120,20 @@
 
     def data_received(self, data):
         """Parse bytes; any without a request break the connection."""
-        if self._reading is None:
+        if self._reading is None or self._transport.is_closing():
             self.abort()
             return
+        self._limit.feed(len(data))
         try:
             self._parser.feed_data(data)
+            self._limit.check()
         except (
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
+            errors.HeadTooLargeError,
         ) as exc:
-            self._fail(f'not an answer: {type(exc).__name__}')
+            cause = exc.__context__ or exc
+            self._fail(f'not an answer: {type(cause).__name__}')
             self.abort()
 
     def eof_received(self):
@@ -141,31 +164,34 @@
     # Callbacks of the parser.
 
     def on_message_begin(self):
-        """Start an answer."""
+        """Start an answer; after ours, it ends the connection."""
         self._rows = []
+        self._limit.begin()
+        if self._reading is not None and self._reading.ended:
+            self.abort()
 
     def on_header(self, name, value):
-        """Take in one header."""
-        self._rows.append(
-            (name.decode('latin-1'), value.decode('latin-1').strip())
-        )
+        """Take in one header, or one after a body in chunks."""
+        self._limit.take(len(name) + len(value))
+        self._rows.append((_text(name), _text(value).strip()))
 
     def on_headers_complete(self):
         """Check whose answer it is."""
+        self._limit.finish()
         status = self._parser.get_status_code()
         by_name = {name.lower(): value for name, value in self._rows}
         reading = self._reading
         if status < 200:
-            self._skipping = True
+            self._skip()
             return
         if reading is None or reading.ended:
             self._closing = True
-            self._skipping = True
+            self._skip()
             return
         if not self._parser.should_keep_alive():
             self._closing = True
         if not reading.is_ours(status, by_name):
-            self._skipping = True
+            self._skip()
             return
         self._skipping = False
         self._framed = 'content-length' in by_name or (
@@ -178,6 +204,14 @@
             self._closing = True
             self._finish()
 
+    def _skip(self):
+        """Drop an answer that is not the one that is waited for."""
+        self._skipping = True
+        self._others += 1
+        if self._others > OTHERS_MOST:
+            self._fail('only answers that are not to this request')
+            self.abort()
+
     def _note_idle_s(self, text):
         for part in text.split(','):
             name, _, value = part.strip().partition('=')
@@ -186,8 +220,13 @@
 
     def on_body(self, data):
         """Keep bytes of our answer."""
+        self._limit.finish()
         reading = self._reading
         if self._skipping or reading is None or reading.ended:
+            self._foreign_bytes += len(data)
+            if self._foreign_bytes > FOREIGN_BYTES_MOST:
+                self._fail('a long answer that is not to this request')
+                self.abort()
             return
         reading.parts.append(data)
         reading.size += len(data)
@@ -198,6 +237,7 @@
 
     def on_message_complete(self):
         """End our answer, or go on to the next one."""
+        self._limit.finish()
         if self._skipping:
             self._skipping = False
             return
@@ -232,6 +272,8 @@
     def start(self, data, is_ours, head_only):
         """Send a request's first bytes and expect its answer."""
         self._reading = _Reading(is_ours, head_only)
+        self._others = 0
+        self._foreign_bytes = 0
         self._transport.write(data)
 
     def write(self, data):
@@ -242,6 +284,11 @@
         """Let no other request follow on this connection."""
         self._closing = True
 
+    @property
+    def held_bytes(self):
+        """How much of the answer's body waits for its reader."""
+        return self._reading.size if self._reading is not None else 0
+
     async def drained(self):
         """Wait until the server has taken most of what was written."""
         await self._writable.wait()
@@ -323,3 +370,8 @@
         self._closing = True
         if self._transport is not None:
             self._transport.abort()
+
+
+def _text(data):
+    """Return a header's text, from which its bytes can be made again."""
+    return data.decode('utf-8', 'surrogateescape')
--- a/ebonypick/connection/_platform_http.py
+++ b/ebonypick/connection/_platform_http.py
@@ -1,5 +1,6 @@
 """The adapter of the platform's table and object store."""
 
+import asyncio
 import dataclasses
 import time
 
@@ -98,10 +99,11 @@
 
     async def _call(self, method, path, data=None, headers=()):
         try:
-            async with self._pool.request(
-                method, path, headers, data, fresh=True, timeout_s=TIMEOUT_S
-            ) as resp:
-                body = await resp.read()
+            async with asyncio.timeout(TIMEOUT_S):
+                async with self._pool.request(
+                    method, path, headers, data, fresh=True
+                ) as resp:
+                    body = await _pool.read_message(resp)
         except _pool.ConnectFailedError as exc:
             raise self._error(exc) from exc
         except (_pool.LostError, OSError) as exc:
--- a/ebonypick/connection/_pool.py
+++ b/ebonypick/connection/_pool.py
@@ -10,6 +10,9 @@
 IDLE_KEPT_S = 2.0
 CONNECTIONS_MOST = 300
 RETIRED_KEPT_S = 30.0
+# The longest message of another host or the store: ten times the 500 rows of
+# some hundred bytes that the store sends at most, in its own encoding.
+MESSAGE_BYTES_MOST = 8 << 20
 
 
 class ConnectFailedError(Exception):
@@ -183,8 +186,32 @@
                 async with self.request(
                     method, path, data=data, fresh=fresh
                 ) as resp:
-                    return resp.status, await resp.read()
+                    return resp.status, await read_message(resp)
         except TimeoutError as exc:
             raise LostError('no answer in time') from exc
-        except (aiohttp.ClientError, OSError) as exc:
-            raise LostError(type(exc).__name__) from exc
+
+
+async def read_message(resp):
+    """Return the whole body of a response that is a message to this host.
+
+    Parameters
+    ==========
+    resp : aiohttp.ClientResponse
+        The response.
+
+    Raises
+    ======
+    LostError
+        If it is cut, or longer than MESSAGE_BYTES_MOST.
+    """
+    parts = []
+    size = 0
+    try:
+        while part := await resp.content.readany():
+            parts.append(part)
+            size += len(part)
+            if size > MESSAGE_BYTES_MOST:
+                raise LostError('the message is too long')
+    except (aiohttp.ClientError, OSError) as exc:
+        raise LostError(type(exc).__name__) from exc
+    return b''.join(parts)
--- a/ebonypick/platform/_store.py
+++ b/ebonypick/platform/_store.py
@@ -1,5 +1,6 @@
 """The platform's store: tables of rows, and a feed of what changed."""
 
+import asyncio
 import base64
 import dataclasses
 import urllib.parse
@@ -103,7 +104,12 @@
 def _table_row(row):
     if row.tombstone or row.value is None:
         return TableRow(row.key, None, row.ver)
-    return TableRow(row.key, base64.b64decode(row.value), row.ver)
+    try:
+        value = base64.b64decode(row.value)
+    except ValueError:
+        # Nothing can be read of it; it is skipped, and logged, as a value.
+        value = row.value.encode()
+    return TableRow(row.key, value, row.ver)
 
 
 @connection.platform_adapters.register('table')
@@ -116,10 +122,12 @@
     async def _call(self, method, path, data=None, timeout_s=CALL_TIMEOUT_S):
         headers = [('content-type', 'application/json')] if data else []
         try:
-            async with self._pool.request(
-                method, path, headers, data, timeout_s=timeout_s
-            ) as resp:
-                return resp.status, await resp.read()
+            # Bounds the body too: its rest may never come.
+            async with asyncio.timeout(timeout_s):
+                async with self._pool.request(
+                    method, path, headers, data
+                ) as resp:
+                    return resp.status, await connection.read_message(resp)
         except (connection.ConnectFailedError, connection.LostError) as exc:
             self._pool.retire()
             raise self._error(exc) from exc
--- a/ebonypick/process/_body.py
+++ b/ebonypick/process/_body.py
@@ -103,3 +103,32 @@
             if part is not None:
                 await pace(len(part))
                 yield part
+
+
+async def read_message(req, limit, timeout_s):
+    """Return the whole body of a message from another process of ours.
+
+    Parameters
+    ==========
+    req : connection.CallerRequest
+        The message.
+    limit : int
+        Largest length in bytes.
+    timeout_s : float
+        Longest time without a byte.
+
+    Raises
+    ======
+    errors.BodyTooLargeError, errors.SlowSenderError, errors.BodyLengthError
+        If it is longer, slower, or not what was announced.
+    """
+    parts = []
+    size = 0
+    while (part := await req.read(timeout_s)) is not None:
+        parts.append(part)
+        size += len(part)
+        if size > limit:
+            raise errors.BodyTooLargeError(
+                found=size, service='messages', limit=limit
+            )
+    return b''.join(parts)
--- a/ebonypick/process/_control.py
+++ b/ebonypick/process/_control.py
@@ -7,6 +7,7 @@
 
 from ebonypick import errors
 from ebonypick import events
+from ebonypick.process import _body
 from ebonypick.process import _claims
 from ebonypick.process import _reader
 from ebonypick.process import _status
@@ -53,18 +54,7 @@
 
 
 async def _read_body(req):
-    parts = []
-    size = 0
-    while True:
-        part = await req.read(BODY_TIMEOUT_S)
-        if part is None:
-            return b''.join(parts)
-        parts.append(part)
-        size += len(part)
-        if size > BODY_LIMIT_BYTES:
-            raise errors.BodyTooLargeError(
-                found=size, service='control', limit=BODY_LIMIT_BYTES
-            )
+    return await _body.read_message(req, BODY_LIMIT_BYTES, BODY_TIMEOUT_S)
 
 
 @controls.register('/livez')
--- a/ebonypick/process/_peer_directory.py
+++ b/ebonypick/process/_peer_directory.py
@@ -49,6 +49,7 @@
         try:
             row = msgspec.json.decode(value, type=HostRow)
             _steering_settings.endpoint(row.peers)
+            _steering_settings.endpoint(row.callers)
             rows[name] = row
         except (msgspec.MsgspecError, ValueError) as exc:
             events.ENTRY_SKIPPED.log(table='hosts', key=name, why=str(exc))
--- a/ebonypick/process/_steering_control.py
+++ b/ebonypick/process/_steering_control.py
@@ -2,8 +2,11 @@
 
 import msgspec
 
+from ebonypick import connection
+from ebonypick import errors
 from ebonypick import events
 from ebonypick import platform
+from ebonypick.process import _body
 from ebonypick import spans
 
 # A caller may keep an answer for that long; below the agreed most, so that
@@ -75,18 +78,31 @@
 
     async def serve_peer(self, req):
         """Answer another steering host."""
-        if req.path == '/peer/v1/gossip' and req.method == 'POST':
-            reply = self._node.gossip.receive(await _read_body(req))
-            await req.respond(200, JSON, reply)
-            return
-        if req.path == '/peer/v1/rows' and req.method == 'POST':
-            self._node.store_view.teller.hear(
-                await _read_body(req), req.client
-            )
-            await req.respond(204, [])
+        serve = _peer_paths.get((req.method, req.path))
+        if serve is None:
+            await req.respond(404, [])
             return
+        try:
+            await serve(self, req)
+        except (msgspec.MsgspecError, ValueError) as exc:
+            raise errors.RequestError(reason=str(exc)) from exc
+
+    async def _exchange_gossip(self, req):
+        reply = self._node.gossip.receive(await _read_body(req))
+        await req.respond(200, JSON, reply)
+
+    async def _hear_rows(self, req):
+        teller = self._node.store_view.teller
+        teller.hear(await _read_body(req), req.client)
+        await req.respond(204, [])
+
+    async def _hear_leaving(self, req):
+        self._node.store_view.teller.hear_leaving(await _read_body(req))
+        await req.respond(204, [])
+
+    async def _tell_rows(self, req):
         follower = self._node.store_view.followers.get(req.query.get('table'))
-        if req.path != '/peer/v1/rows' or follower is None:
+        if follower is None:
             await req.respond(404, [])
             return
         after = int(req.query.get('after', '-1'))
@@ -97,9 +113,15 @@
         await req.respond(200, JSON, body)
 
 
+_peer_paths = {
+    ('POST', '/peer/v1/gossip'): Control._exchange_gossip,
+    ('POST', '/peer/v1/rows'): Control._hear_rows,
+    ('GET', '/peer/v1/rows'): Control._tell_rows,
+    ('POST', '/peer/v1/leaving'): Control._hear_leaving,
+}
+
+
 async def _read_body(req):
-    """Return a peer's whole message."""
-    parts = []
-    while (part := await req.read(PEER_BODY_TIMEOUT_S)) is not None:
-        parts.append(part)
-    return b''.join(parts)
+    return await _body.read_message(
+        req, connection.MESSAGE_BYTES_MOST, PEER_BODY_TIMEOUT_S
+    )
