Leave out servers that say in their answers that they leave or hold off

Cause: nothing read Server-Leaving or a server's own Retry-After. A leaving server whose row stays, lapses or comes back was used as long as its row said so; a server that wanted nothing for a while got each request for which it was the home. Change: a word of leaving counts at once on this host until the server's next start, and is told to the hosts of the region; Retry-After leaves the server alone on this host. An answer tells only of the start that it came from. A closed pool keeps no connection that was in use when it was closed.

--- a/ebonypick/connection/_server_pool.py
+++ b/ebonypick/connection/_server_pool.py
@@ -26,6 +26,7 @@
         self.address = address
         self._local = (local_address, 0) if local_address else None
         self._idle = collections.deque()
+        self._closed = False
 
     async def __aenter__(self):
         return self
@@ -34,7 +35,8 @@
         self.close()
 
     def close(self):
-        """Close the idle connections."""
+        """Close the idle connections now, those in use after their answer."""
+        self._closed = True
         while self._idle:
             self._idle.pop().abort()
 
@@ -77,9 +79,13 @@
         except BaseException:
             conn.abort()
             raise
-        if conn.release():
-            self._trim()
-            self._idle.append(conn)
+        if not conn.release():
+            return
+        if self._closed:
+            conn.abort()
+            return
+        self._trim()
+        self._idle.append(conn)
 
     def _trim(self):
         """Close connections that have been idle for too long."""
--- a/ebonypick/events.py
+++ b/ebonypick/events.py
@@ -207,6 +207,20 @@
     'added',
     'removed',
 )
+BACKEND_LEAVES = define(
+    'EP1313',
+    'A backend server said that it leaves; it gets nothing more.',
+    'backend',
+    'source',
+    'req',
+)
+BACKEND_HOLDS_OFF = define(
+    'EP1314',
+    'A backend server wants nothing from this host for a while.',
+    'backend',
+    'req',
+    'span_s',
+)
 EVACUATION_CHANGED = define(
     'EP1312', 'The evacuated data centres changed.', 'revision', 'centres'
 )
--- a/ebonypick/platform/_headers.py
+++ b/ebonypick/platform/_headers.py
@@ -11,6 +11,12 @@
 _SEAL = 'server-seal'
 # Running requests, waiting requests and slots, separated by commas.
 _LOAD = 'server-load'
+# The server leaves, whatever else the answer says.
+_LEAVING = 'server-leaving'
+# With a 503: seconds for which the server wants nothing from this host.
+_HOLD_OFF_S = 'retry-after'
+# A longer time is taken for a mistake.
+_HOLD_OFF_MOST_S = 3_600.0
 # How long the server stays cold, in milliseconds.
 _WARMUP_MS = 'warmup-ms'
 
@@ -18,6 +24,23 @@
 _REPLACED = frozenset({_DEADLINE_MS, _EXPECTED_INSTANCE, 'content-length'})
 
 
+# More digits than any time or count has.
+_DIGITS_MOST = 15
+
+
+def _whole(text):
+    """Return a whole number that is not negative, or None."""
+    if text.isdecimal() and len(text) <= _DIGITS_MOST:
+        return int(text)
+    return None
+
+
+def _milliseconds(text):
+    """Return a time in seconds, or None where there is none to read."""
+    whole = _whole(text)
+    return None if whole is None else whole / 1000
+
+
 def _object_key(headers):
     for cookies in headers.getall('cookie', ()):
         for cookie in cookies.split(';'):
@@ -42,11 +65,10 @@
         none that can be read.
     """
     headers = req.headers
-    deadline = headers.get(_DEADLINE_MS, '')
     return request.CallerHead(
         req=headers.get(_REQUEST_ID),
         host=headers.get('host', ''),
-        deadline_s=int(deadline) / 1000 if deadline.isdecimal() else None,
+        deadline_s=_milliseconds(headers.get(_DEADLINE_MS, '')),
         object_key=_object_key(headers),
     )
 
@@ -79,10 +101,21 @@
 
 
 def _load(text):
-    parts = text.split(',')
-    if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
+    counts = [_whole(part.strip()) for part in text.split(',')]
+    if len(counts) != 3 or None in counts:
         return None
-    return request.LoadReport(*(int(part) for part in parts))
+    return request.LoadReport(*counts)
+
+
+def _hold_off_s(status, text):
+    """Return for how long a server wants nothing; 0 where it says nothing."""
+    if status != 503:
+        return 0.0
+    try:
+        seconds = float(text)
+    except ValueError:
+        return 0.0
+    return seconds if 0.0 < seconds <= _HOLD_OFF_MOST_S else 0.0
 
 
 def answer_head(status, headers):
@@ -99,14 +132,15 @@
     =======
     request.AnswerHead
     """
-    warmup = headers.get(_WARMUP_MS, '')
     return request.AnswerHead(
         req=headers.get(_REQUEST_ID),
         not_run=_NOT_RUN in headers or status == 421,
         other_instance=status == 421,
         sealed=_SEAL in headers,
         load=_load(headers.get(_LOAD, '')),
-        warmup_left_s=int(warmup) / 1000 if warmup.isdecimal() else None,
+        warmup_left_s=_milliseconds(headers.get(_WARMUP_MS, '')),
+        leaving=headers.get(_LEAVING, '').strip() == '1',
+        hold_off_s=_hold_off_s(status, headers.get(_HOLD_OFF_S, '')),
     )
 
 
--- a/ebonypick/process/_server_attempt.py
+++ b/ebonypick/process/_server_attempt.py
@@ -171,15 +171,18 @@
 
     async def _exchange(self, entry):
         async with self._node.pool(entry).connection() as conn:
+            if self._node.fleet.holds_off(entry.instance, time.monotonic()):
+                # It said so while the connection was being made.
+                return Ended(
+                    request.Outcome.NOT_RUN, 'held off', arrived=False
+                )
             self.sent = True
             await self._send(conn, entry)
             answer = await conn.head()
             head = platform.answer_head(answer.status, answer.by_name)
             start, whole = await conn.read_start()
             failed = answer.status >= 500 and not head.not_run
-            self._node.fleet.answered(
-                self._ticket, head, failed, time.monotonic()
-            )
+            self._learn(entry, head, failed)
             ended = self._judge(answer, head)
             if ended.answer is None:
                 return ended
@@ -190,6 +193,19 @@
                 return dataclasses.replace(ended, answer=None)
             return await self._stream(conn, answer, start)
 
+    def _learn(self, entry, head, failed):
+        """Take in what an answer says of its server."""
+        leaves = self._node.fleet.answered(
+            self._ticket, head, failed, time.monotonic()
+        )
+        req = self._job.head.req
+        if leaves:
+            self._node.store_view.server_leaves(entry, req)
+        if head.hold_off_s:
+            events.BACKEND_HOLDS_OFF.log(
+                backend=entry.instance, req=req, span_s=head.hold_off_s
+            )
+
     async def _send(self, conn, entry):
         req = self._job.req
         rows = platform.forward_head(
--- a/ebonypick/process/_store_view.py
+++ b/ebonypick/process/_store_view.py
@@ -137,6 +137,30 @@
     def _take_host_rows(self, rows):
         self._node.board.publish(hosts=_peer_directory.decode_rows(rows))
 
+    def server_leaves(self, entry, req):
+        """Take in, and tell, that a server says itself that it leaves.
+
+        Parameters
+        ==========
+        entry : ServerEntry
+            The server.
+        req : str
+            The request whose answer said so.
+        """
+        self._note_leaving(entry.instance, 'an answer', req)
+        self._node.tasks.start(
+            self.teller.tell_leaving(entry.instance, entry.started_ms)
+        )
+
+    def hear_leaving(self, instance, started_ms, source):
+        """Take in that a server told another host that it leaves."""
+        if self._node.fleet.leaves(instance, started_ms):
+            self._note_leaving(instance, source, None)
+
+    def _note_leaving(self, instance, source, req):
+        self._node.close_pools([instance])
+        events.BACKEND_LEAVES.log(backend=instance, source=source, req=req)
+
     def revisions(self):
         """Return as of when this host knows each table."""
         return {
--- a/ebonypick/process/_telling.py
+++ b/ebonypick/process/_telling.py
@@ -43,6 +43,40 @@
     rows: _tables.PeerRows
     names: tuple[str, ...] = ()
 
+    @property
+    def subject(self):
+        """What it is about, for the log."""
+        return self.rows.table
+
+
+class ToldLeaving(msgspec.Struct, frozen=True, array_like=True):
+    """A server's word that it leaves, on its way through a tree.
+
+    Parameters
+    ==========
+    root : str
+        The host that the server told.
+    instance : str
+        The server.
+    started_ms : int
+        Its start, in milliseconds since the epoch.
+    names : tuple of str
+        The hosts to which whoever gets this passes it on.
+    """
+
+    root: str
+    instance: str
+    started_ms: int
+    names: tuple[str, ...] = ()
+
+    @property
+    def subject(self):
+        """What it is about, for the log."""
+        return f'leaving/{self.instance}'
+
+
+_PATHS = {Told: '/peer/v1/rows', ToldLeaving: '/peer/v1/leaving'}
+
 
 def parts(names):
     """Return the parts of a tree that one host tells, first hosts first.
@@ -96,11 +130,24 @@
         if state <= (after, removals):
             return
         self._told[table] = state
+        await self._spread(Told(host, follower.told(after), self._below()))
+
+    async def tell_leaving(self, instance, started_ms):
+        """Begin to tell that a server says that it leaves."""
+        host = self._node.settings.host
+        await self._spread(
+            ToldLeaving(host, instance, started_ms, self._below())
+        )
+
+    def _below(self):
+        """Return the other hosts of the region, in this root's order.
+
+        Roots have different orders: who is lost in one tree cuts off others
+        than in the other.
+        """
+        host = self._node.settings.host
         others = [n for n in self._node.roster.of_region() if n != host]
-        # Readers have different orders: who is lost in one tree cuts off
-        # others than in the other.
-        names = request.rendezvous(host, others, len(others))
-        await self._spread(Told(host, follower.told(after), names))
+        return request.rendezvous(host, others, len(others))
 
     async def _spread(self, told):
         await asyncio.gather(
@@ -111,7 +158,7 @@
         """Tell the first host of a part that can be told."""
         while names:
             first, names = names[0], names[1:]
-            rest = Told(told.root, told.rows, names)
+            rest = msgspec.structs.replace(told, names=names)
             if await self._tell_one(first, rest):
                 return
 
@@ -122,13 +169,15 @@
         try:
             status, _ = await pool.call_json(
                 'POST',
-                '/peer/v1/rows',
+                _PATHS[type(told)],
                 msgspec.json.encode(told),
                 timeout_s=TELL_TIMEOUT_S,
             )
         except (connection.ConnectFailedError, connection.LostError) as exc:
             events.PEER_FAILED.log(
-                table=told.rows.table, peer=name, why=repr(exc)
+                table=told.subject,
+                peer=name,
+                why=repr(exc),
             )
             return False
         return status == 204
@@ -160,6 +209,25 @@
         if not follower.take_told(told.rows):
             self._ask_sender(follower, address)
 
+    def hear_leaving(self, data):
+        """Take in that a server leaves, and pass it on.
+
+        Parameters
+        ==========
+        data : bytes
+            Another host's message.
+
+        Raises
+        ======
+        msgspec.MsgspecError
+            If the message cannot be read.
+        """
+        told = msgspec.json.decode(data, type=ToldLeaving)
+        self._node.store_view.hear_leaving(
+            told.instance, told.started_ms, told.root
+        )
+        self._node.tasks.start(self._spread(told))
+
     def _ask_sender(self, follower, address):
         """Ask who told: changes before those are missing here."""
         for name, row in self._node.ends.rows.items():
--- /dev/null
+++ b/ebonypick/process/tests/test_malformed_messages.py
@@ -0,0 +1,146 @@
+"""Messages between hosts, rows, settings and log lines of any kind."""
+
+import asyncio
+import json
+import os
+import random
+import types
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from ebonypick import errors
+from ebonypick.process import _gossip
+from ebonypick.process import _log_sink
+from ebonypick.process import _membership
+from ebonypick.process import _peer_directory
+from ebonypick.process import _steering_control
+from ebonypick.process import _steering_settings
+from ebonypick.process import _tables
+from ebonypick.process import _telling
+
+# Values of every type, at every place of a message.
+VALUES = strategies.recursive(
+    strategies.one_of(
+        strategies.none(),
+        strategies.booleans(),
+        strategies.integers(),
+        strategies.floats(allow_nan=False, allow_infinity=False),
+        strategies.text(max_size=8),
+        strategies.sampled_from(['h', 'dc', 't', 'servers', 'op']),
+    ),
+    lambda inner: strategies.one_of(
+        strategies.lists(inner, max_size=8),
+        strategies.dictionaries(strategies.text(max_size=4), inner),
+    ),
+    max_leaves=20,
+)
+MESSAGES = strategies.one_of(
+    strategies.binary(max_size=100),
+    VALUES.map(lambda value: json.dumps(value).encode()),
+)
+
+
+def _gossip_task(data):
+    board = types.SimpleNamespace(
+        number=1, view=None, platform_now=lambda: None, publish=lambda **_: 0
+    )
+    node = types.SimpleNamespace(
+        board=board,
+        table_revisions=dict,
+        hear_version=lambda *_: None,
+        hear_revisions=lambda *_: None,
+        hear_platform_time=lambda *_: None,
+    )
+    membership = _membership.Membership('h', 'dc', 1, random.Random(1))
+    return _gossip.GossipTask(node, membership).receive(data)
+
+
+def _teller(follower):
+    node = types.SimpleNamespace(
+        settings=types.SimpleNamespace(host='h'),
+        store_view=types.SimpleNamespace(hear_leaving=lambda *_: None),
+        ends=types.SimpleNamespace(peer=lambda _: None, rows={}),
+        tasks=types.SimpleNamespace(start=lambda coro: coro.close()),
+    )
+    return _telling.Teller(node, {'t': follower})
+
+
+class _Req:
+    """A message of another host."""
+
+    def __init__(self, method, path, data, query):
+        self.method, self.path, self.query = method, path, query
+        self.client = '127.0.0.1'
+        self._parts = [data, None]
+        self.status = 0
+
+    async def read(self, timeout_s):
+        return self._parts.pop(0)
+
+    async def respond(self, status, headers, body=b''):
+        self.status = status
+
+
+@hypothesis.given(
+    strategies.sampled_from(
+        [
+            ('POST', '/peer/v1/gossip'),
+            ('POST', '/peer/v1/rows'),
+            ('GET', '/peer/v1/rows'),
+            ('POST', '/peer/v1/leaving'),
+        ]
+    ),
+    MESSAGES,
+    strategies.dictionaries(
+        strategies.sampled_from(['table', 'after']),
+        strategies.one_of(strategies.text(max_size=5), strategies.just('t')),
+    ),
+)
+def test_a_message_of_a_host_is_taken_or_refused(place, data, query):
+    rows = []
+    follower = _tables.TableFollower(None, 't', rows.append, lambda: ())
+    node = types.SimpleNamespace(
+        gossip=types.SimpleNamespace(receive=_gossip_task),
+        store_view=types.SimpleNamespace(
+            teller=_teller(follower), followers={'t': follower}
+        ),
+    )
+    req = _Req(*place, data, query)
+    try:
+        asyncio.run(_steering_control.Control(node).serve_peer(req))
+    except errors.RequestError as exc:
+        assert exc.status == 400
+
+
+@hypothesis.given(strategies.dictionaries(strategies.text(), MESSAGES))
+def test_rows_of_hosts_that_cannot_be_read_are_skipped(values):
+    for row in _peer_directory.decode_rows(values).values():
+        assert _steering_settings.endpoint(row.peers)
+        assert _steering_settings.endpoint(row.callers)
+
+
+@hypothesis.given(MESSAGES)
+def test_settings_are_read_or_refused_with_a_remedy(data):
+    path = f'/tmp/ebonypick-settings-{os.getpid()}.json'
+    with open(path, 'wb') as file:
+        file.write(data)
+    with pytest.raises(errors.EbonypickError) as caught:
+        _steering_settings.load_steering_settings(path)
+    os.unlink(path)
+    assert caught.value.advice
+
+
+@pytest.mark.parametrize('text', ['a\udcff', '\ud800', 'ordinary'])
+def test_a_line_with_bytes_that_are_no_text_does_not_end_the_log(text):
+    reader, writer = os.pipe()
+    with _log_sink.LogSink(writer) as sink:
+        sink({'n': 1})
+        sink({'n': 2, 'req': text})
+        sink({'n': 3})
+    os.close(writer)
+    with open(reader, 'rb') as file:
+        lines = [json.loads(line) for line in file]
+    assert [line['n'] for line in lines] == [1, 2, 3]
+    assert lines[1]['req'] == text
--- a/ebonypick/process/tests/test_telling.py
+++ b/ebonypick/process/tests/test_telling.py
@@ -36,6 +36,7 @@
         self.heard = collections.Counter()
         self.told = collections.Counter()
         self.tasks = []
+        self.leaving = collections.defaultdict(list)
         self.tellers = {
             name: self._teller(name, names, dict(views).get(name, names))
             for name in names
@@ -48,6 +49,9 @@
         pools = {n: self._pool(name, n) for n in names}
         node = types.SimpleNamespace(
             settings=types.SimpleNamespace(host=name),
+            store_view=types.SimpleNamespace(
+                hear_leaving=lambda *word: self.leaving[name].append(word)
+            ),
             roster=types.SimpleNamespace(of_region=lambda: list(view)),
             ends=types.SimpleNamespace(peer=pools.get, rows={}),
             tasks=types.SimpleNamespace(
@@ -63,7 +67,10 @@
             self.told[source] += 1
             if name in self.lost:
                 raise connection.ConnectFailedError('lost')
-            self.tellers[name].hear(data, '')
+            if path == '/peer/v1/leaving':
+                self.tellers[name].hear_leaving(data)
+            else:
+                self.tellers[name].hear(data, '')
             return 204, b''
 
         return types.SimpleNamespace(call_json=call_json)
@@ -138,3 +145,20 @@
     asyncio.run(hear())
     assert set(region.heard) == {'host-1'}
     assert not region.told
+
+
+@pytest.mark.parametrize('count', [2, 10, 267])
+def test_every_host_hears_once_that_a_server_leaves(count):
+    region = _Region(REGION[:count], lost=REGION[5:6])
+
+    async def tell():
+        await region.tellers[REGION[0]].tell_leaving('i-1', 5)
+        while region.tasks:
+            await region.tasks.pop()
+
+    asyncio.run(tell())
+    others = set(REGION[1:count]) - region.lost
+    assert set(region.leaving) == others
+    word = [('i-1', 5, REGION[0])]
+    assert all(region.leaving[name] == word for name in others)
+    assert max(region.told.values()) <= 2 * _telling.FANOUT
--- a/ebonypick/request/_choice.py
+++ b/ebonypick/request/_choice.py
@@ -63,7 +63,7 @@
     Parameters
     ==========
     reason : str
-        ``no-server``, ``full``, ``cold`` or ``late``.
+        ``no-server``, ``full``, ``cold``, ``late`` or ``held-off``.
     retry_after_s : float
         When room is expected.
     """
@@ -90,6 +90,8 @@
         Whether the server handled the object lately.
     turns : float
         Times of usual work until the answer is expected.
+    started_ms : int
+        The server's start that it went to, in milliseconds since the epoch.
     """
 
     number: int
@@ -98,3 +100,4 @@
     sent_at: float
     warm: bool
     turns: float
+    started_ms: int = 0
--- a/ebonypick/request/_fleet.py
+++ b/ebonypick/request/_fleet.py
@@ -14,6 +14,7 @@
 import random
 
 from ebonypick.request import _choice
+from ebonypick.request import _departure
 from ebonypick.request import _nearness
 from ebonypick.request import _pace
 from ebonypick.request import _rank
@@ -68,6 +69,7 @@
         self._hosts = {data_centre: (host,)}
         self._warmup_per_s = {}
         self._gate = _warmup.WarmupGate()
+        self._departures = _departure.Departures()
         self._pace = _pace.Pace()
         self._numbers = itertools.count()
         self._weights = {}
@@ -147,11 +149,15 @@
         """
         usable = []
         slow = []
+        held_off = []
         cold = False
         for name in self._ranking(ask):
             server = self._servers[name]
             if name in ask.tried or now < server.down_until:
                 continue
+            if now < server.held_off_until:
+                held_off.append(server.held_off_until - now)
+                continue
             if now < server.cold_until and not self._sends_to_cold(name):
                 cold = True
                 continue
@@ -162,6 +168,8 @@
             if len(usable) >= WEIGHED_MOST:
                 break
         usable = usable or slow
+        if held_off and not usable:
+            return _choice.Turned('held-off', min(held_off))
         return self._pick(ask, usable, cold, now)
 
     def _pick(self, ask, usable, cold, now):
@@ -237,6 +245,9 @@
                 for name, server in self._servers.items()
                 if server.entry.service == service
                 and not server.entry.draining
+                and not self._departures.includes(
+                    name, server.entry.started_ms
+                )
                 and server.entry.data_centre not in self._evacuated
                 and (not regions or server.region in regions)
             }
@@ -261,7 +272,13 @@
         warm = known and server.health.remembers(object_key, now)
         turns = max(1.0, server.on_hand(now)) if known else 1.0
         ticket = _choice.Ticket(
-            next(self._numbers), instance, object_key, now, warm, turns
+            next(self._numbers),
+            instance,
+            object_key,
+            now,
+            warm,
+            turns,
+            server.entry.started_ms if known else 0,
         )
         if known:
             server.tickets[ticket.number] = ticket
@@ -288,10 +305,23 @@
             Whether it reports a failure of the server.
         now : float
             Monotonic time in seconds.
+
+        Returns
+        =======
+        bool
+            Whether it is the first word that the server leaves.
         """
         server = self._servers.get(ticket.instance)
-        if server is None:
-            return
+        leaves = head.leaving and not head.other_instance
+        news = leaves and self.leaves(ticket.instance, ticket.started_ms)
+        if server is None or server.entry.started_ms != ticket.started_ms:
+            # What an earlier start says tells nothing of this one.
+            return news
+        self._learn(server, ticket, head, failed, now)
+        return news
+
+    def _learn(self, server, ticket, head, failed, now):
+        """Take in what an answer says of the server that runs now."""
         server.failures = 0
         server.down_until = 0.0
         server.unanswered = 0
@@ -299,6 +329,9 @@
         if head.other_instance:
             self._gone(server)
             return
+        server.held_off_until = max(
+            server.held_off_until, now + head.hold_off_s
+        )
         if head.warmup_left_s:
             server.cold_until = now + head.warmup_left_s
         if head.load is not None:
@@ -309,6 +342,26 @@
         if not (head.not_run or failed):
             self._pace.note(server, ticket, now)
 
+    def leaves(self, instance, started_ms):
+        """Leave a server out until its next start; return whether it is news.
+
+        Parameters
+        ==========
+        instance : str
+            The server.
+        started_ms : int
+            The start that leaves, in milliseconds since the epoch.
+        """
+        news = self._departures.note(instance, started_ms)
+        if news:
+            self._layout_changed()
+        return news
+
+    def holds_off(self, instance, now):
+        """Return whether a server wants nothing from this host now."""
+        server = self._servers.get(instance)
+        return server is not None and now < server.held_off_until
+
     def _gone(self, server):
         """Leave a server out until it registers anew."""
         server.entry = dataclasses.replace(server.entry, draining=True)
--- a/ebonypick/request/_server.py
+++ b/ebonypick/request/_server.py
@@ -101,6 +101,10 @@
         Its load.
     warmup_left_s : float or None
         How long it stays cold.
+    leaving : bool
+        Whether it says that it leaves.
+    hold_off_s : float
+        How long it wants nothing from this host.
     """
 
     req: str | None
@@ -109,3 +113,5 @@
     sealed: bool = False
     load: LoadReport | None = None
     warmup_left_s: float | None = None
+    leaving: bool = False
+    hold_off_s: float = 0.0
--- a/ebonypick/request/_server_state.py
+++ b/ebonypick/request/_server_state.py
@@ -35,6 +35,8 @@
         Connections in a row that could not be made.
     down_until : float
         Monotonic time; until then no connection is tried.
+    held_off_until : float
+        Monotonic time; until then the server wants nothing from this host.
     answered_at : float
         Monotonic time of its last answer.
     unanswered : int
@@ -50,6 +52,7 @@
     reported_at: float | None = None
     failures: int = 0
     down_until: float = 0.0
+    held_off_until: float = 0.0
     answered_at: float = float('-inf')
     unanswered: int = 0
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -14,6 +14,13 @@
 _numbers = itertools.count(1)
 # Of a stalled answer: more than any host holds, and what comes of it.
 STALLED_BYTES, STALLED_AFTER_BYTES = 900_000, 600_000
+# Bytes without end, in place of an answer or after the start of one.
+ENDLESS = {
+    'head': (b'HTTP/1.1 200 OK\r\nX: ', b'y' * 16_384),
+    'interim': (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 256),
+    'body': (b'HTTP/1.1 200 OK\r\n', b'y' * 16_384),
+    'after': (b'', b'y' * 16_384),
+}
 # How often a run looks whether its caller is still there.
 WORK_STEP_S = 0.01
 
@@ -62,6 +69,8 @@
         Whether the server said then that it is cold.
     misdirected : bool
         Whether it named another instance, so that it was refused.
+    started_at : float
+        Monotonic time of the server's start.
     """
 
     req: str
@@ -70,6 +79,27 @@
     at: float
     cold: bool
     misdirected: bool
+    started_at: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class HoldOff:
+    """A refusal that asked a host to send nothing for a while.
+
+    Parameters
+    ==========
+    source : str
+        IP number of the host.
+    instance : str
+        Who the server was.
+    at, until : float
+        Monotonic times.
+    """
+
+    source: str
+    instance: str
+    at: float
+    until: float
 
 
 @dataclasses.dataclass
@@ -88,6 +118,8 @@
     garbage: int = 0
     fail: int = 0
     stall: int = 0
+    # The kind of ENDLESS with which each answer begins.
+    endless: str = ''
 
 
 class Upstream:
@@ -127,12 +159,19 @@
         self.faults = UpstreamFaults()
         self.runs = []
         self.arrivals = []
+        self.hold_offs = []
         self.connections = 0
         self.draining = False
         self.warmup_left_s = 0.0
+        # Whether each answer says that the server leaves.
+        self.says_leaving = False
+        # What a refusal asks for; it refuses until then.
+        self.hold_off_s = 0.0
+        self.held_off_until = 0.0
         self.instance = f'i-{next(_numbers):06d}'
         self.port = 0
         self.started_ms = 0
+        self._started_at = 0.0
         self._sequence = 0
         self.address = address
         self._slots = asyncio.Semaphore(slots)
@@ -154,6 +193,7 @@
         )
         self.port = self._server.sockets[0].getsockname()[1]
         self.started_ms = time.time_ns() // 1_000_000
+        self._started_at = time.monotonic()
         self._sequence = 0
         return self
 
@@ -260,11 +300,23 @@
             time.monotonic(),
             self.warmup_left_s > 0,
             misdirected,
+            self._started_at,
         )
         self.arrivals.append(arrival)
         if misdirected:
             self._answer(writer, headers, 421, b'', sealed=False)
             return True
+        if arrival.at < self.held_off_until:
+            self.hold_offs.append(
+                HoldOff(
+                    arrival.source,
+                    self.instance,
+                    arrival.at,
+                    self.held_off_until,
+                )
+            )
+            self._answer(writer, headers, 503, b'', sealed=False)
+            return True
         if self._waiting >= self._queue or self._take('shed'):
             self._answer(writer, headers, 503, b'', sealed=False)
             return True
@@ -319,8 +371,24 @@
             whole = bytes(STALLED_BYTES)
             self._answer(writer, headers, 200, whole, sent=STALLED_AFTER_BYTES)
             await self._work_for(3600, reader)
+        if self.faults.endless:
+            await self._send_for_ever(writer, headers, run.req, body)
         return self._finish(writer, headers, run.req.encode() + b'=' + body)
 
+    async def _send_for_ever(self, writer, headers, req, body):
+        """Send until the caller closes."""
+        first, more = ENDLESS[self.faults.endless]
+        if self.faults.endless == 'after':
+            self._answer(writer, headers, 200, req.encode() + b'=' + body)
+        elif self.faults.endless == 'body':
+            rows = f'Attempt-Id: {req}\r\nServer-Seal: x\r\n\r\n'
+            first += rows.encode()
+        writer.write(first)
+        while True:
+            writer.write(more)
+            await writer.drain()
+            await asyncio.sleep(0)
+
     def _finish(self, writer, headers, body):
         if self._take('garbage'):
             writer.write(b'\x00\x01 no answer\r\n\r\n')
@@ -363,6 +431,11 @@
             rows.append(f'Server-Seal: {self.instance}')
         else:
             rows.append('Not-Executed: 1')
+        if self.says_leaving:
+            rows.append('Server-Leaving: 1')
+        if status == 503 and self.hold_off_s:
+            left_s = max(0.0, self.held_off_until - time.monotonic())
+            rows.append(f'Retry-After: {left_s or self.hold_off_s:.2f}')
         if self.warmup_left_s:
             rows.append(f'Warmup-Ms: {round(self.warmup_left_s * 1000)}')
         if framed:
--- a/tests/test_steering_host.py
+++ b/tests/test_steering_host.py
@@ -2,7 +2,11 @@
 
 import asyncio
 import signal
+import time
 
+import pytest
+
+from standins import upstream
 from tests import steering_world
 
 SEED = 51
@@ -252,3 +256,134 @@
     for kind, (_, expected) in BAD_INPUT.items():
         assert found[kind].split(b' ')[1] == expected, kind
     assert (status, ran) == (200, [req])
+
+
+def test_a_server_that_says_it_leaves_gets_nothing_more(tmp_path):
+    """Its row says that it is ready all the while, also when it is new."""
+
+    async def play(world, session):
+        name, other = list(world.processes)
+        for _ in range(30):
+            await world.call(session, name, 'read')
+        leaver = max(world.of('registry'), key=lambda s: len(s.runs))
+        leaver.says_leaving = True
+        answers = []
+        while not any('server-leaving' in a.headers for a in answers):
+            answers.append(await world.call(session, name, 'read'))
+        told_at = answers[-1].ended_at
+        world.register(leaver)
+        await asyncio.gather(
+            *(world.call(session, name, 'read', key=k) for k in range(40))
+        )
+        late = [a for a in leaver.arrivals if a.at > told_at]
+        await asyncio.sleep(0.3)
+        open_ones = leaver.open_connections
+        # A new start under the same name is used.
+        leaver.says_leaving = False
+        await world.restart_server(leaver, instance=leaver.instance)
+        before = len(leaver.runs)
+        for _ in range(100):
+            await world.call(session, name, 'read')
+            if len(leaver.runs) > before:
+                break
+            await asyncio.sleep(0.02)
+        return late, open_ones, len(leaver.runs) > before
+
+    late, open_ones, used = _scene(tmp_path, play)
+    assert late == []
+    assert open_ones == 0
+    assert used
+
+
+def test_other_hosts_of_the_region_hear_that_a_server_leaves(tmp_path):
+    async def play(world, session):
+        first, second = [n for n in world.processes if n.startswith('a-')][:2]
+        leaver = world.of('registry')[0]
+        leaver.says_leaving = True
+        while 'EP1313' not in _codes(world, second):
+            await world.call(session, first, 'read')
+            await asyncio.sleep(0.02)
+        before = len(leaver.arrivals)
+        for _ in range(40):
+            await world.call(session, second, 'read')
+        return len(leaver.arrivals) - before
+
+    more = steering_world.run_scene(tmp_path, SEED, play, hosts=2)
+    assert more == 0
+
+
+def _codes(world, name):
+    return {line['message_type'] for line in world.log_lines(name)}
+
+
+def test_a_server_that_wants_nothing_for_a_while_gets_two_at_most(tmp_path):
+    async def play(world, session):
+        name = next(iter(world.processes))
+        for _ in range(30):
+            await world.call(session, name, 'read')
+        server = max(world.of('registry'), key=lambda s: len(s.runs))
+        server.hold_off_s = 2.0
+        refused_at = time.monotonic()
+        server.held_off_until = refused_at + 2.0
+        answered_at = None
+        while time.monotonic() < refused_at + 1.9:
+            await world.call(session, name, 'read')
+            if answered_at is None and server.arrivals[-1].at > refused_at:
+                answered_at = time.monotonic()
+        late = [a for a in server.arrivals if a.at > answered_at + 0.5]
+        before = len(server.runs)
+        while len(server.runs) == before:
+            await world.call(session, name, 'read')
+            assert time.monotonic() < refused_at + 10.0
+        return len(late), steering_world.violations(world)
+
+    late, broken = _scene(tmp_path, play)
+    assert late <= 2
+    assert broken == []
+
+
+# What a host holds at rest is some 40 MB; fifty answers at 0.7 MB at most.
+MEMORY_MOST_KB = 120_000
+
+
+def _peak_kb(process):
+    with open(f'/proc/{process.pid}/status') as file:
+        for line in file:
+            if line.startswith('VmHWM'):
+                return int(line.split()[1])
+    return 0
+
+
+@pytest.mark.parametrize('kind', upstream.ENDLESS)
+def test_servers_that_never_stop_sending_are_left(tmp_path, kind):
+    """Fifty requests at once; other requests are served meanwhile."""
+
+    async def play(world, session):
+        name = next(iter(world.processes))
+        for server in world.of('registry'):
+            server.faults.endless = kind
+        calls = [
+            asyncio.create_task(world.call(session, name, 'read'))
+            for _ in range(50)
+        ]
+        uploads = [
+            (await world.call(session, name, 'upload')).status
+            for _ in range(10)
+        ]
+        await asyncio.gather(*calls)
+        peak_kb = _peak_kb(world.processes[name])
+        for server in world.of('registry'):
+            server.faults.endless = ''
+        await asyncio.sleep(0.2)
+        open_ones = [s.open_connections for s in world.of('registry')]
+        statuses = {c.result().status for c in calls}
+        return uploads, statuses, peak_kb, open_ones
+
+    uploads, statuses, peak_kb, open_ones = _scene(tmp_path, play)
+    assert uploads == [200] * 10
+    # The answer before the bytes is whole, a body breaks its connection;
+    # what finds the slots taken is refused.
+    expected = {200, 503} if kind == 'after' else {0, 502, 503, 504}
+    assert statuses <= expected
+    assert peak_kb < MEMORY_MOST_KB
+    assert max(open_ones) <= 1
