--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -84,6 +84,7 @@
                 world.client(regions[n % len(regions)], until, PER_S)
                 for n in range(CLIENTS)
             ),
+            *(world.pipelining_client(region, until) for region in regions),
             *(world.probe(name, until) for name in sorted(world.processes)),
         )
         last = await _recover(world)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -19,6 +19,7 @@
 REPEAT_WINDOW_S = 10.0
 REPEAT_RATIO, REPEAT_SLACK = 0.2, 56
 RECOVERED_SHARE = 0.9
+HELD_OFF_AFTER_S = 0.5
 FINAL_STATUSES = (400, 404, 413, 431)
 
 
@@ -57,6 +58,56 @@
     ]
 
 
+@promises.register('leaving')
+def check_leavers(world):
+    """A server that said in an answer that it leaves gets nothing new.
+
+    It holds for the host that passed the answer on, in touch or not, until
+    that host stops or rests.
+    """
+    calls = {call.req: call for call in world.calls}
+    told = {}
+    for call in sorted(world.calls, key=lambda c: c.ended_at):
+        if 'server-leaving' in call.headers:
+            key = (call.host, call.lifetime, call.headers.get('server-seal'))
+            told.setdefault(key, call.ended_at)
+    found = []
+    for host, arrival in _arrivals(world):
+        call = calls.get(arrival.req)
+        at = call and told.get((host, call.lifetime, arrival.instance))
+        if at is None or call.sent_at <= at + soak_world.DRAIN_S:
+            continue
+        if arrival.started_at <= at and world.calm(at, arrival.at, host):
+            found.append(
+                f'{arrival.req} reached {arrival.instance} from {host} '
+                f'{arrival.at - at:.2f} s after it said that it leaves'
+            )
+    return found
+
+
+@promises.register('hold off')
+def check_hold_offs(world):
+    """A server that wants nothing gets two requests of a host at most."""
+    names = _hosts_by_address(world)
+    found = []
+    for server in world.upstreams:
+        for row in server.hold_offs:
+            late = [
+                a
+                for a in server.arrivals
+                if a.source == row.source
+                and a.instance == row.instance
+                and row.at + HELD_OFF_AFTER_S < a.at < row.until
+            ]
+            host = names.get(row.source)
+            if len(late) > 2 and world.calm(row.at, row.until, host):
+                found.append(
+                    f'{row.instance} got {len(late)} requests from {host} '
+                    f'in a time for which it wanted none'
+                )
+    return found
+
+
 @promises.register('evacuate')
 def check_evacuations(world):
     """An evacuated data centre gets nothing until it is taken back."""
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -4,8 +4,10 @@
 import dataclasses
 import random
 import signal
+import time
 
 from ebonypick import registry
+from standins import upstream
 from tests.soak import proxy
 from tests.soak import world as soak_world
 
@@ -295,6 +297,46 @@
         await world.restart_server(server)
 
 
+@troubles.register('server says that it leaves')
+async def leave_by_answers(world, rng, for_s):
+    """Say it in answers alone, or beside a row that goes too."""
+    server = rng.choice(world.upstreams)
+    if server.draining or server.says_leaving:
+        return
+    name = server.instance
+    server.says_leaving = True
+    await asyncio.sleep(rng.uniform(0, soak_world.DRAIN_S))
+    if rng.random() < 0.5:
+        world.store.remove('servers', name)
+    await asyncio.sleep(soak_world.DRAIN_S + for_s)
+    world.store.remove('servers', name)
+    with world.trouble('servers'):
+        server.says_leaving = False
+        await world.restart_server(server, instance=rng.choice((name, None)))
+
+
+@troubles.register('server wants nothing')
+async def hold_off(world, rng, for_s):
+    """Refuse for a while, and say for how long."""
+    server = rng.choice(world.upstreams)
+    server.hold_off_s = for_s
+    server.held_off_until = time.monotonic() + for_s
+    await asyncio.sleep(for_s)
+    server.hold_off_s = 0.0
+
+
+@troubles.register('servers send without end')
+async def send_for_ever(world, rng, for_s):
+    """Let some servers send bytes that never end."""
+    servers = rng.sample(world.upstreams, rng.randint(1, 3))
+    with world.trouble('servers'):
+        for server in servers:
+            server.faults.endless = rng.choice(sorted(upstream.ENDLESS))
+        await asyncio.sleep(for_s)
+        for server in servers:
+            server.faults.endless = ''
+
+
 @troubles.register('answers spoilt')
 async def spoil_answers(world, rng, for_s):
     """Let servers spoil some answers, of one kind or several."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from standins import pipelining
 from standins import store
 from tests.soak import proxy
 from tests import steering_world
@@ -25,6 +26,8 @@
 # A caller keeps the answer to a look-up for that long.
 LOOKUP_S = 2.0
 PROBE_INTERVAL_S = 0.2
+# Requests that a caller sends at once.
+PIPELINED_MOST = 6
 WORK_S = 0.05
 # Last number of the first backend server's address, after the hosts'.
 FIRST_SERVER = 100
@@ -319,6 +322,23 @@
                 await asyncio.sleep(self.rng.expovariate(per_s))
             await asyncio.gather(*tasks)
 
+    async def pipelining_client(self, region, until):
+        """Send several reads at once, on a connection while it is open."""
+        while time.monotonic() < until:
+            hosts = await self._look_up(region) or self.names()
+            name = self.rng.choice(hosts)
+            try:
+                async with pipelining.PipeliningConnection(
+                    self.callers_end(name)
+                ) as conn:
+                    while conn.open and time.monotonic() < until:
+                        count = self.rng.randint(1, PIPELINED_MOST)
+                        await self.pipeline(conn, name, count)
+                        await asyncio.sleep(self.rng.uniform(0, 0.2))
+            except OSError:
+                # A host that is down, as callers meet it.
+                await asyncio.sleep(0.1)
+
     async def _look_up(self, region):
         """Return the hosts that some host names, or none."""
         names = self.names()
--- a/tests/steering_world.py
+++ b/tests/steering_world.py
@@ -322,9 +322,7 @@
 
     async def call(self, session, name, kind, size=0, key=None):
         """Send one request and keep what came of it."""
-        req = f'{next(self._numbers):016x}'
-        key = self.rng.randrange(40) if key is None else key
-        target = f'/{kind}/{req}?q=%20{key}'
+        req, key, target = self._draw(kind, key)
         body = b'' if is_safe(kind) else self.rng.randbytes(size or 200)
         lifetime = self.lifetimes[name]
         sent_at = time.monotonic()
@@ -348,6 +346,59 @@
         self.calls.append(call)
         return call
 
+    def _draw(self, kind, key=None):
+        """Return the id, object and target of a new request."""
+        req = f'{next(self._numbers):016x}'
+        key = self.rng.randrange(40) if key is None else key
+        return req, key, f'/{kind}/{req}?q=%20{key}'
+
+    async def pipeline(self, conn, name, count, kind='read'):
+        """Send requests at once on a connection; keep what came of them.
+
+        Parameters
+        ==========
+        conn : pipelining.PipeliningConnection
+            A connection to the host.
+        name : str
+            The host.
+        count : int
+            How many requests.
+        kind : str
+            Of requests without a body.
+        """
+        drawn = [self._draw(kind) for _ in range(count)]
+        lifetime = self.lifetimes[name]
+        sent_at = time.monotonic()
+        try:
+            async with asyncio.timeout(DEADLINE_S + 2):
+                answers = await conn.ask([_plain_get(*row) for row in drawn])
+        except TimeoutError:
+            conn.open = False
+            answers = []
+        answers += [(0, b'', {})] * (count - len(answers))
+        digest = hashlib.sha256(b'').hexdigest()
+        calls = [
+            Call(
+                req,
+                kind,
+                target,
+                digest,
+                b'',
+                *answer,
+                sent_at,
+                time.monotonic(),
+                name,
+                lifetime,
+            )
+            for (req, _, target), answer in zip(drawn, answers)
+        ]
+        self.calls += calls
+        return calls
+
+    def callers_end(self, name):
+        """Return the address that callers of a host connect to."""
+        return self.address(name), self.callers_port
+
     async def _exchange(self, session, name, kind, target, body, req, key):
         headers = {
             'Host': HOST,
@@ -391,6 +442,18 @@
             await asyncio.gather(*tasks)
 
 
+def _plain_get(req, key, target):
+    """Return the bytes of a request without a body."""
+    rows = [
+        f'GET {target} HTTP/1.1',
+        f'Host: {HOST}',
+        f'Attempt-Id: {req}',
+        f'Deadline-Ms: {round(DEADLINE_S * 1000)}',
+        f'Cookie: Affinity-Key={key}',
+    ]
+    return ('\r\n'.join(rows) + '\r\n\r\n').encode()
+
+
 def violations(world):
     """Return what in a history breaks a promise to callers.
 
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -43,7 +43,7 @@
             )
         )
 
-    def called(self, kind, status, sent_at, ended_at, req='r'):
+    def called(self, kind, status, sent_at, ended_at, req='r', headers=()):
         """Let a caller's request end."""
         self.calls.append(
             steering_world.Call(
@@ -54,7 +54,7 @@
                 b'',
                 status,
                 b'',
-                {},
+                dict(headers),
                 sent_at,
                 ended_at,
                 HOST,
@@ -91,6 +91,31 @@
     assert promises.check_drains(world) == []
 
 
+def test_arrivals_at_a_server_that_said_that_it_leaves(world):
+    said = {'server-leaving': '1', 'server-seal': world.server.instance}
+    world.called('read', 200, 9.0, 10.0, 'first', said)
+    late = 10.0 + soak_world.DRAIN_S + 0.1
+    world.called('read', 200, late - 0.2, late, 'crossed')
+    world.arrive(late, 'crossed')
+    assert promises.check_leavers(world) == []
+    world.called('read', 200, late, late + 0.1, 'late')
+    world.arrive(late, 'late')
+    assert len(promises.check_leavers(world)) == 1
+    world.disturbed(HOST, 10.5, 11.0)
+    assert promises.check_leavers(world) == []
+
+
+def test_arrivals_at_a_server_that_wants_nothing(world):
+    world.server.hold_offs.append(
+        upstream.HoldOff(ADDRESS, world.server.instance, 10.0, 13.0)
+    )
+    for at in (10.4, 11.0, 12.0, 13.1):
+        world.arrive(at)
+    assert promises.check_hold_offs(world) == []
+    world.arrive(12.5)
+    assert len(promises.check_hold_offs(world)) == 1
+
+
 def test_arrivals_in_an_evacuated_data_centre(world):
     world.said('evacuate', 'a-1', 10.0)
     world.said('return', 'a-1', 20.0)
