Serve the connections that wait to be accepted when a host stops

Cause: closing the listening socket resets what waits in its queue. On a busy machine the loop is late to accept, so in a planned stop callers that had connected, and sent, got a reset: an action's outcome is unknown then. Shown by test_caller_stop.py, which fails on the code before with asyncio's loop and with uvloop; it is a way in which test_entry_hosts_stop_while_callers_send can lose a POST, though that test has not been seen to fail on it. Change: the queue is emptied, through a second descriptor, before the last one closes; steering hosts wait a second for the first request of who is connected. Ruled out: to go on listening until the end; new callers would come as long.

--- a/ebonypick/connection/_caller_http.py
+++ b/ebonypick/connection/_caller_http.py
@@ -1,6 +1,8 @@
 """The adapter of callers that speak HTTP/1.1."""
 
 import asyncio
+import contextlib
+import socket
 
 from ebonypick.connection import _adapters
 from ebonypick.connection import _caller_stream
@@ -80,27 +82,34 @@
         self._address = address
         self._port = port
         self._handler = handler
+        self._sock = None
         self._server = None
+        # The port that it listens on.
+        self.port = port
         self.connections = set()
         self.header_bytes = HEAD_LIMIT_BYTES
         self.header_s = REQUEST_HEAD_TIMEOUT_S
         self.idle_s = IDLE_TIMEOUT_S
 
     async def __aenter__(self):
-        loop = asyncio.get_running_loop()
+        family = socket.AF_INET6 if ':' in self._address else socket.AF_INET
         try:
-            self._server = await loop.create_server(
-                lambda: _caller_stream.CallerStream(self),
-                self._address,
-                self._port,
-                backlog=BACKLOG,
+            self._sock = socket.create_server(
+                (self._address, self._port), family=family, backlog=BACKLOG
             )
         except OSError as exc:
             raise errors.PortInUseError(
                 address=self._address, port=self._port, reason=exc.strerror
             ) from exc
+        self.port = self._sock.getsockname()[1]
+        self._server = await asyncio.get_running_loop().create_server(
+            self._make_stream, sock=self._sock, backlog=BACKLOG
+        )
         return self
 
+    def _make_stream(self):
+        return _caller_stream.CallerStream(self)
+
     async def __aexit__(self, *exc_info):
         self._server.close()
         for conn in list(self.connections):
@@ -151,11 +160,6 @@
         for conn in self.connections:
             conn.limits_changed()
 
-    @property
-    def port(self):
-        """The port that the server listens on."""
-        return self._server.sockets[0].getsockname()[1]
-
     @property
     def busy(self):
         """Whether a request or an unsent answer is on some connection."""
@@ -184,12 +188,33 @@
                 conn.end()
 
     async def stop_listening(self, spare_new=False):
-        """Take no new connections and close the idle ones."""
-        self._server.close()
+        """Take no new connections and close the idle ones.
+
+        Those that wait to be accepted are taken first: their callers are
+        connected already, and may have sent a request.
+        """
+        if self._server.is_serving():
+            with self._sock.dup() as waiting:
+                # Closing the last descriptor would reset what waits.
+                self._server.close()
+                accepted = _accept_all(waiting)
+            loop = asyncio.get_running_loop()
+            for sock in accepted:
+                await loop.connect_accepted_socket(self._make_stream, sock)
         await asyncio.sleep(0)
         self.close_idle(spare_new)
 
 
+def _accept_all(listener):
+    """Return the connections that wait to be accepted."""
+    listener.setblocking(False)
+    found = []
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            found.append(listener.accept()[0])
+    return found
+
+
 def make_caller_server(kind, address, port, handler):
     """Return the server for callers by the adapter ``kind``."""
     return _adapters.caller_adapters.get(kind)(address, port, handler)
--- a/ebonypick/connection/tests/test_caller_stop.py
+++ b/ebonypick/connection/tests/test_caller_stop.py
@@ -1,6 +1,10 @@
 """Idle connections are closed at a planned stop, requests are not."""
 
 import asyncio
+import socket
+
+import pytest
+import uvloop
 
 from ebonypick import connection
 
@@ -74,3 +78,33 @@
 
     one, other = asyncio.run(listen())
     assert one != other
+
+
+async def _stop_with_a_backlog():
+    """Stop while connections wait to be accepted, requests on them."""
+    server = connection.make_caller_server('http', '127.0.0.1', 0, _answer)
+    async with server:
+        callers = []
+        # The loop does not run meanwhile, as on a busy machine.
+        for _ in range(20):
+            sock = socket.create_connection(('127.0.0.1', server.port))
+            sock.sendall(REQUEST)
+            callers.append(sock)
+        await server.stop_listening(spare_new=True)
+        answers = []
+        for sock in callers:
+            reader, writer = await asyncio.open_connection(sock=sock)
+            answers.append(
+                await asyncio.wait_for(reader.readuntil(b'whole'), 5)
+            )
+            writer.close()
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(('127.0.0.1', server.port))
+    return answers
+
+
+@pytest.mark.parametrize('run', [asyncio.run, uvloop.run])
+def test_connections_that_wait_to_be_accepted_are_served(run):
+    answers = run(_stop_with_a_backlog())
+    assert len(answers) == 20
+    assert all(answer.startswith(b'HTTP/1.1 200') for answer in answers)
--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -26,6 +26,9 @@
 # In a planned stop, kept connections are closed after this time: callers
 # have had time to read the last answers on them.
 IDLE_KEPT_S = 0.5
+# After the end of listening: how long a caller that has connected may take
+# to send, as long as the platform's callers wait for a connection at most.
+FIRST_REQUEST_S = 1.0
 # What remains of the grace time when the last requests are cut.
 GRACE_REST_S = 0.4
 STOP_POLL_S = 0.02
@@ -234,17 +237,25 @@
         self.gossip.leave()
         self.tasks.start(self.gossip.announce())
         await asyncio.sleep(IDLE_KEPT_S)
-        await self._callers.stop_listening()
-        # Answers that slow callers still read count as well.
-        while self._has_callers() and time.monotonic() < end:
+        await self._callers.stop_listening(spare_new=True)
+        spare_until = time.monotonic() + FIRST_REQUEST_S
+        while self._has_callers(spare_until) and time.monotonic() < end:
             await asyncio.sleep(STOP_POLL_S)
-            self._callers.close_idle()
+            self._callers.close_idle(time.monotonic() < spare_until)
         events.PROCESS_STOPPED.log(
             host=self.settings.host, in_flight=self.in_flight
         )
 
-    def _has_callers(self):
-        return self.in_flight > 0 or self._callers.busy
+    def _has_callers(self, spare_until):
+        """Return whether the stop has to wait for callers.
+
+        Answers that slow callers still read count, and, for a while, callers
+        that have connected and are about to send.
+        """
+        if self.in_flight or self._callers.busy:
+            return True
+        spares = time.monotonic() < spare_until
+        return spares and self._callers.expects_first
 
     def reload(self, settings, why):
         """Take in settings that were read again."""
