Tell with the first message that a host stops, also other data centres

Cause, traced: test_entry_hosts_stop_while_callers_send failed beside busy processes since callers were still sent to a host more than a second after its stop began, when it no longer listened. A host that began to stop told all others at once, but with the beat of its last tick, which they had heard already: the newest record wins, so they dropped it and learned it with the next tick, up to half a second later. Hosts of other data centres heard it from a speaker only. Their look-ups named it until then, and callers keep those. Change: the beat grows with the begin of a stop, and messages of a stopping host carry its own record wherever they go.

--- a/ebonypick/process/_gossip.py
+++ b/ebonypick/process/_gossip.py
@@ -47,7 +47,7 @@
 
     def leave(self):
         """Tell the others that a planned stop began."""
-        self._membership.leaving = True
+        self._membership.leave()
         self._publish()
 
     def fail(self, host):
--- a/ebonypick/process/_membership.py
+++ b/ebonypick/process/_membership.py
@@ -21,6 +21,9 @@
 RECORDS_MOST = 12
 # A host that could not be reached gets no work for so long.
 FAILED_S = 1.0
+# A host of another data centre that says that it leaves is left out for so
+# long; by then its speakers' digests tell, or its silence.
+LEFT_S = CENTRE_SUSPECT_S
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,6 +76,7 @@
         self._hosts = {}
         self._speakers = {}
         self._failed = {}
+        self._left = {}
 
     def configure(self, centres):
         """Set the entry hosts of each data centre.
@@ -89,6 +93,11 @@
             for name, heard in self._hosts.items()
             if name in siblings
         }
+        self._left = {
+            name: until
+            for name, until in self._left.items()
+            if any(name in names for names in self._centres.values())
+        }
         self._speakers = {
             key: heard
             for key, heard in self._speakers.items()
@@ -131,6 +140,14 @@
             self.data_centre, alive, SPEAKERS
         )
 
+    def leave(self):
+        """Begin a planned stop; what is told from now on says so.
+
+        The beat grows, since records of the last one may be known already.
+        """
+        self.leaving = True
+        self._beat += 1
+
     def tick(self, now):
         """Raise the beat; return the hosts to exchange messages with."""
         self._beat += 1
@@ -220,7 +237,7 @@
 
     def message(self, to_centre, version, platform_s, now, revisions=None):
         """Return what to tell a host of a data centre."""
-        hosts = ()
+        hosts = (self._own_record(),) if self.leaving else ()
         if to_centre == self.data_centre:
             limit_s = self._patience(SUSPECT_S, len(self._hosts))
             rows = self._select(self._hosts, limit_s, now)
@@ -247,6 +264,8 @@
                 self._refute(record)
             elif record.host in siblings:
                 self._take(self._hosts, record.host, record, now)
+            elif record.leaving:
+                self._left[record.host] = now + LEFT_S
         for record in message.centres:
             if record.data_centre == self.data_centre:
                 continue
@@ -290,6 +309,7 @@
         for name in here:
             if name != self.host and self._hosts[name].record.leaving:
                 leaving.add(name)
+        leaving.update(n for n, until in self._left.items() if now < until)
         alive[self.data_centre] = here
         newest = self._newest(now)
         for centre, names in self._centres.items():
--- a/ebonypick/process/tests/test_membership.py
+++ b/ebonypick/process/tests/test_membership.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
 from ebonypick import process
 from ebonypick.process import _membership
@@ -148,6 +149,35 @@
         assert 'b1' in net.members[name].view(net.now).leaving
 
 
+@pytest.mark.parametrize('name', sorted(HOSTS))
+def test_one_message_tells_every_host_that_its_sender_leaves(name):
+    """Between two ticks, also to other data centres and by any host."""
+    net = Net(2)
+    net.run(5)
+    net.members[name].leave()
+    for other in HOSTS:
+        if other != name:
+            net.exchange(name, other)
+    for other in HOSTS:
+        assert name not in net.live(other)
+    net.run(1)
+    for other in HOSTS:
+        assert name not in net.live(other)
+
+
+def test_a_host_that_left_and_started_again_is_soon_used():
+    net = Net(2)
+    net.run(5)
+    net.members['b1'].leave()
+    for other in HOSTS:
+        if other != 'b1':
+            net.exchange('b1', other)
+    net.start('b1')
+    net.run(_membership.LEFT_S + 2)
+    for other in HOSTS:
+        assert 'b1' in net.live(other)
+
+
 def test_a_host_whose_clock_went_back_is_heard_again():
     """A start with an older incarnation outgrows its old records."""
     net = Net(3)
