Play servers that leave or hold off, and callers that pipeline, in the model

Purpose: the model speaks what is new on the wire, and counts requests at servers that had told their host otherwise: none, and some when nobody heeds them.

--- a/ebonypick/experiment/_object_sites.py
+++ b/ebonypick/experiment/_object_sites.py
@@ -23,11 +23,13 @@
     worth, late_worth : float
         Of an answer within the objective and after it.
     objects : int
-        Objects of each data centre.
+        Objects of each region, that all of its callers ask for.
     priority : int
         Rank; 0 is the highest.
     bulky : bool
         Whether bodies are long.
+    together : int
+        Requests that a caller sends at once, the next before an answer.
     """
 
     name: str
@@ -42,6 +44,7 @@
     objects: int
     priority: int
     bulky: bool = False
+    together: int = 1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -88,12 +91,16 @@
         Of the servers.
     slow : float
         How many times as long their work takes.
+    how : str
+        ``slow``; ``leaving`` where they say in their answers that they leave;
+        ``held-off`` where they refuse until its end, and say so.
     """
 
     at: float
     until: float
     part: float
-    slow: float
+    slow: float = 1.0
+    how: str = 'slow'
 
 
 SITES = {
@@ -135,6 +142,29 @@
             ),
         ),
     ),
+    'pipelined': ObjectSite(
+        servers=(2, 3, 1),
+        slots=3,
+        queue=9,
+        remembers=27,
+        between_s=0.055,
+        classes=(
+            RequestClass(
+                'stock',
+                True,
+                1.0,
+                0.36,
+                0.4,
+                1.0,
+                2.0,
+                1,
+                0.2,
+                26,
+                2,
+                together=4,
+            ),
+        ),
+    ),
     'headroom': ObjectSite(
         servers=(5, 5, 1),
         slots=6,
--- a/ebonypick/experiment/_objects.py
+++ b/ebonypick/experiment/_objects.py
@@ -115,6 +115,8 @@
                 self._servers[name] = _Server(entry, site)
         self._trouble = trouble
         self._bad = set()
+        # When a host was first told by a server that misbehaves.
+        self._told = {}
         if trouble is not None:
             count = round(trouble.part * len(self._servers))
             names = sorted(self._servers)
@@ -140,7 +142,8 @@
         =======
         dict
             ``worth`` (earned of owed), ``worst`` (of the worst two windows),
-            ``refused`` and ``failed`` (parts of the requests).
+            ``refused`` and ``failed`` (parts of the requests), ``unwanted``
+            (requests at servers that had told their host otherwise).
         """
         for centre in self._regions:
             self._at(self._gap_s(centre, 0.0), self._arrive, centre)
@@ -166,6 +169,7 @@
             'refused': round(self.counts['refused'] / asked, 3),
             'again': round(self.counts['again'] / asked, 3),
             'failed': round(self.counts['failed'] / asked, 3),
+            'unwanted': self.counts['unwanted'],
             'cold': round(self.counts['cold'] / max(1, self.counts['ran']), 3),
         }
 
@@ -173,16 +177,22 @@
         region = int(self._regions[centre])
         phase = 2 * math.pi * (now / PERIOD_S + region / 3)
         rate = self._per_s / len(self._regions) * (1 + SWING * math.sin(phase))
-        return self._rng.expovariate(rate)
+        together = sum(c.share * c.together for c in self._site.classes)
+        return self._rng.expovariate(rate / together)
 
     def _arrive(self, now, centre):
         if now >= self._seconds:
             return
         self._at(now + self._gap_s(centre, now), self._arrive, centre)
+        region = self._regions[centre]
         cls = self._rng.choices(
             self._site.classes, [c.share for c in self._site.classes]
         )[0]
-        key = f'{cls.name}/{centre}/{self._rng.randrange(cls.objects)}'
+        for _ in range(cls.together):
+            self._ask(now, cls, centre, region)
+
+    def _ask(self, now, cls, centre, region):
+        key = f'{cls.name}/{region}/{self._rng.randrange(cls.objects)}'
         self.owed[int(now / WINDOW_S)] += cls.worth
         self.counts['asked'] += 1
         self._send(now, _Try(cls, centre, key, now, now, f'h-{centre}'))
@@ -225,11 +235,43 @@
             and trouble.at <= now < trouble.until
         )
 
+    def _trouble_is(self, how, now, server):
+        return self._misbehaves(now, server) and self._trouble.how == how
+
+    def _count_unwanted(self, now, server, attempt):
+        """Count a request at a server that had told its host otherwise."""
+        if not self._misbehaves(now, server) or self._trouble.how == 'slow':
+            return
+        told_at = self._told.get((attempt.host, server.entry.instance), now)
+        # Requests that had been sent before the host was told.
+        if now > told_at + self._delay_s(attempt.centre, attempt.server):
+            self.counts['unwanted'] += 1
+
+    def _head(self, now, attempt, load, not_run=False):
+        """Return an answer's head; note what its host is told by it."""
+        server = self._servers[attempt.server]
+        leaving = self._trouble_is('leaving', now, server)
+        held_off = not_run and self._trouble_is('held-off', now, server)
+        if leaving or held_off:
+            self._told.setdefault((attempt.host, attempt.server), now)
+        return request.AnswerHead(
+            '',
+            not_run=not_run,
+            sealed=not not_run,
+            load=load,
+            leaving=leaving,
+            hold_off_s=self._trouble.until - now if held_off else 0.0,
+        )
+
     def _reach(self, now, attempt, tried):
         if attempt.settled:
             return
         server = self._servers[attempt.server]
-        if server.running < self._site.slots:
+        self._count_unwanted(now, server, attempt)
+        if self._trouble_is('held-off', now, server):
+            back = now + self._delay_s(attempt.centre, attempt.server)
+            self._at(back, self._shed, attempt, tried, server.load())
+        elif server.running < self._site.slots:
             self._start(now, server, attempt)
         elif len(server.waiting) < self._site.queue:
             server.waiting.append(attempt)
@@ -279,7 +321,7 @@
         if attempt.settled:
             return
         attempt.settled = True
-        head = request.AnswerHead('', load=load, sealed=True)
+        head = self._head(now, attempt, load)
         self._leave(attempt, now, head)
         took_s = now - attempt.first_at
         cls = attempt.cls
@@ -292,7 +334,7 @@
         if attempt.settled:
             return
         self.counts['shed'] += 1
-        head = request.AnswerHead('', not_run=True, load=load)
+        head = self._head(now, attempt, load, not_run=True)
         self._leave(attempt, now, head)
         if len(tried) < 2:
             self._send(now, attempt, tried)
--- a/ebonypick/experiment/objects.py
+++ b/ebonypick/experiment/objects.py
@@ -20,7 +20,13 @@
 LENGTH_S = flags.DEFINE_float('length_s', 24.0, 'Length of a play, virtual.')
 PLAY_SEED = flags.DEFINE_integer('play_seed', 1, 'Seed of a play.')
 SLOW_PART = flags.DEFINE_float(
-    'slow_part', 0.0, 'Part of the servers that are slow in the middle.'
+    'slow_part', 0.0, 'Part of the servers that have trouble in the middle.'
+)
+TROUBLE = flags.DEFINE_enum(
+    'trouble',
+    'slow',
+    ['slow', 'leaving', 'held-off'],
+    'What the part of the servers is in the middle.',
 )
 SLOW_TIMES = flags.DEFINE_float('slow_times', 5.0, 'How slow they are.')
 
@@ -30,7 +36,11 @@
         return None
     third = LENGTH_S.value / 3
     return _object_sites.Trouble(
-        third, 2 * third, SLOW_PART.value, SLOW_TIMES.value
+        third,
+        2 * third,
+        SLOW_PART.value,
+        SLOW_TIMES.value,
+        TROUBLE.value,
     )
 
 
--- a/ebonypick/experiment/tests/test_objects.py
+++ b/ebonypick/experiment/tests/test_objects.py
@@ -8,6 +8,7 @@
 from ebonypick.experiment import _object_policies
 from ebonypick.experiment import _object_sites
 from ebonypick.experiment import _objects
+from ebonypick import request
 from ebonypick.request import _health
 from ebonypick.request import _nearness
 from ebonypick.request import _server_state
@@ -127,3 +128,31 @@
     )
     play.run()
     assert max(_shifts(play)) > SHIFT_MOST
+
+
+def _play_trouble(how):
+    trouble = _object_sites.Trouble(8.0, 16.0, 0.3, how=how)
+    return _objects.play(
+        'pipelined', 'objects', 60, SECONDS, SEED, trouble=trouble
+    )
+
+
+@pytest.mark.parametrize('how', ['leaving', 'held-off'])
+def test_servers_that_say_so_in_answers_get_nothing_more(how):
+    """Callers of the others are served all the same."""
+    found = _play_trouble(how)
+    assert found['unwanted'] == 0
+    assert found['refused'] + found['failed'] <= 0.02
+
+
+@pytest.mark.parametrize('how', ['leaving', 'held-off'])
+def test_the_play_counts_what_such_servers_get(how, monkeypatch):
+    """When nobody heeds what they say."""
+
+    def answered(self, ticket, head, failed, now):
+        head = dataclasses.replace(head, leaving=False, hold_off_s=0.0)
+        return heeding(self, ticket, head, failed, now)
+
+    heeding = request.Fleet.answered
+    monkeypatch.setattr(request.Fleet, 'answered', answered)
+    assert _play_trouble(how)['unwanted'] > 0
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -307,8 +307,8 @@
         tasks = set()
         hosts, known_until = [], 0.0
         connector = aiohttp.TCPConnector(limit=0)
-        async with aiohttp.ClientSession(
-            connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+        async with steering_world.caller_session(
+            connector=connector
         ) as session:
             while time.monotonic() < until:
                 if time.monotonic() > known_until:
@@ -357,9 +357,7 @@
 
     async def probe(self, name, until):
         """Ask a host for the routes of the newest versions, by turns."""
-        async with aiohttp.ClientSession(
-            cookie_jar=aiohttp.DummyCookieJar()
-        ) as session:
+        async with steering_world.caller_session() as session:
             while time.monotonic() < until:
                 versions = [t.name for t in self.told if t.kind == 'config']
                 for number in versions[-2:]:
--- a/tests/steering_world.py
+++ b/tests/steering_world.py
@@ -134,6 +134,19 @@
     return cfg
 
 
+def caller_session(**options):
+    """Return a session of HTTP that sends each request once.
+
+    The library's own repeat after a reset would bear the same id, which
+    callers give to one attempt only.
+    """
+    session = aiohttp.ClientSession(
+        cookie_jar=aiohttp.DummyCookieJar(), **options
+    )
+    session._retry_connection = False
+    return session
+
+
 class SteeringWorld:
     """A deployment of two data centres; an async context manager.
 
@@ -424,9 +437,8 @@
     async def load(self, seconds, per_s, names=None):
         """Send requests of all kinds at a steady rate."""
         tasks = []
-        async with aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
-            cookie_jar=aiohttp.DummyCookieJar(),
+        async with caller_session(
+            connector=aiohttp.TCPConnector(limit=0)
         ) as session:
             end = time.monotonic() + seconds
             while time.monotonic() < end:
@@ -508,7 +520,7 @@
 
     async def run():
         async with SteeringWorld(folder, seed, **more) as world:
-            async with aiohttp.ClientSession() as session:
+            async with caller_session() as session:
                 return await play(world, session)
 
     return asyncio.run(run())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,6 +22,14 @@
         schedule.Step(5.34, 'hosts killed', 0.76, 13819176),
         schedule.Step(6.06, 'settings read again', 3.44, 907497995),
     ),
+    'the scene\'s callers sent a reset request again (drawn from 2015)': (
+        schedule.Step(1.11, 'store turns hosts away', 3.53, 280851185),
+        schedule.Step(6.39, 'clocks step', 2.93, 902602728),
+        schedule.Step(6.4, 'answers spoilt', 2.18, 247960379),
+        schedule.Step(6.56, 'connections reset', 2.66, 927643389),
+        schedule.Step(7.65, 'configurations change', 1.61, 612976647),
+        schedule.Step(7.76, 'address used again', 2.29, 983431595),
+    ),
 }
 
 
