Leave out a server for a while whose bytes are no answers

Cause: bytes that are no answer, or never end, closed their connection, but the server stayed as good as before and got the next request. Change: such a request counts as one that the server left unanswered; three of them with no answer in between leave it out for 2 s, longer each time. Times of 0 are taken for half a millisecond: a test whose clock stood still divided by one. Ruled out: leaving it out at the first one; two in a hundred answers may be spoilt, and a repeat serves those. The tests in test_departure.py fail before by the missing method.

--- a/ebonypick/connection/__init__.py
+++ b/ebonypick/connection/__init__.py
@@ -24,6 +24,7 @@
 from ebonypick.connection._platform_http import Put
 from ebonypick.connection._platform_http import StoredRow
 from ebonypick.connection._platform_http import Transaction
+from ebonypick.connection._pool import BadAnswerError
 from ebonypick.connection._pool import ConnectFailedError
 from ebonypick.connection._pool import LostError
 from ebonypick.connection._pool import MESSAGE_BYTES_MOST
@@ -34,6 +35,7 @@
 
 __all__ = (
     'Answer',
+    'BadAnswerError',
     'CallerRequest',
     'Condition',
     'ConnectFailedError',
--- a/ebonypick/connection/_exchange.py
+++ b/ebonypick/connection/_exchange.py
@@ -133,7 +133,7 @@
             errors.HeadTooLargeError,
         ) as exc:
             cause = exc.__context__ or exc
-            self._fail(f'not an answer: {type(cause).__name__}')
+            self._fail(f'not an answer: {type(cause).__name__}', bad=True)
             self.abort()
 
     def eof_received(self):
@@ -209,7 +209,7 @@
         self._skipping = True
         self._others += 1
         if self._others > OTHERS_MOST:
-            self._fail('only answers that are not to this request')
+            self._fail('only answers to other requests', bad=True)
             self.abort()
 
     def _note_idle_s(self, text):
@@ -225,7 +225,7 @@
         if self._skipping or reading is None or reading.ended:
             self._foreign_bytes += len(data)
             if self._foreign_bytes > FOREIGN_BYTES_MOST:
-                self._fail('a long answer that is not to this request')
+                self._fail('a long answer to another request', bad=True)
                 self.abort()
             return
         reading.parts.append(data)
@@ -249,11 +249,12 @@
             self._reading.ended = True
             self._reading.changed.set()
 
-    def _fail(self, reason):
+    def _fail(self, reason, bad=False):
         self._closing = True
         reading = self._reading
         if reading is not None and not reading.ended:
-            reading.error = reason
+            kind = _pool.BadAnswerError if bad else _pool.LostError
+            reading.error = kind(reason)
             reading.ended = True
             reading.changed.set()
 
@@ -309,7 +310,7 @@
         reading = self._reading
         while reading.answer is None:
             if reading.ended:
-                raise _pool.LostError(reading.error)
+                raise reading.error
             reading.changed.clear()
             await reading.changed.wait()
         return reading.answer
@@ -345,7 +346,7 @@
     def _take(self):
         reading = self._reading
         if reading.error is not None:
-            raise _pool.LostError(reading.error)
+            raise reading.error
         data = b''.join(reading.parts)
         reading.parts.clear()
         reading.size = 0
--- a/ebonypick/connection/_pool.py
+++ b/ebonypick/connection/_pool.py
@@ -23,6 +23,10 @@
     """The connection was lost after the request may have been sent."""
 
 
+class BadAnswerError(LostError):
+    """What came is no answer to the request, or more than one may hold."""
+
+
 class Pool:
     """Connections to one address; an async context manager.
 
--- a/ebonypick/connection/tests/test_endless.py
+++ b/ebonypick/connection/tests/test_endless.py
@@ -86,7 +86,7 @@
 
     async def play(pool):
         async with asyncio.timeout(TIMEOUT_S):
-            with pytest.raises(connection.LostError):
+            with pytest.raises(connection.BadAnswerError):
                 await _ask(pool)
             while not endless.closed:
                 await asyncio.sleep(0.01)
--- a/ebonypick/process/_server_attempt.py
+++ b/ebonypick/process/_server_attempt.py
@@ -129,6 +129,9 @@
             ended = Ended(
                 request.Outcome.NOT_RUN, f'no connection: {exc}', arrived=False
             )
+        except connection.BadAnswerError as exc:
+            fleet.misbehaved(self._ticket, time.monotonic())
+            ended = Ended(request.Outcome.UNKNOWN, str(exc))
         except connection.LostError as exc:
             ended = Ended(request.Outcome.UNKNOWN, str(exc))
         finally:
--- a/ebonypick/request/_fleet.py
+++ b/ebonypick/request/_fleet.py
@@ -367,6 +367,16 @@
         server.entry = dataclasses.replace(server.entry, draining=True)
         self._layout_changed()
 
+    def misbehaved(self, ticket, now):
+        """Note that what a server sent is no answer; call before ``ended``.
+
+        It counts as a request that it let wait: three of them with no answer
+        in between leave it out for a while.
+        """
+        server = self._servers.get(ticket.instance)
+        if server is not None:
+            self._pace.note_unanswered(server, now)
+
     def unreachable(self, instance, now):
         """Note that no connection to a server could be made."""
         server = self._servers.get(instance)
--- a/ebonypick/request/_pace.py
+++ b/ebonypick/request/_pace.py
@@ -10,6 +10,9 @@
 # Work of a request before any was measured.
 WORK_START_S = 0.4
 SMOOTHING = 0.05
+# No answer takes less: times are divided by one another, and a clock of
+# milliseconds may show none.
+TIME_LEAST_S = 0.0005
 # An answer within so many times the usual time is a good one.
 GOOD_RATIO = 1.5
 # One slow answer counts as at most so many times the usual one.
@@ -75,7 +78,7 @@
             Monotonic time in seconds.
         """
         pace = self._of(server.entry.service)
-        took_s = now - ticket.sent_at
+        took_s = max(TIME_LEAST_S, now - ticket.sent_at)
         if server.on_hand(now) <= 1.0:
             pace.work_s += SMOOTHING * (took_s - pace.work_s)
         server.health.handled(ticket.object_key, now)
@@ -110,6 +113,10 @@
             return
         if server.answered_at > ticket.sent_at:
             return
+        self.note_unanswered(server, now)
+
+    def note_unanswered(self, server, now):
+        """Count a request without an answer; leave out who has too many."""
         server.unanswered += 1
         if server.unanswered >= UNANSWERED_MOST:
             server.health.leave_out(now)
--- a/ebonypick/request/tests/test_departure.py
+++ b/ebonypick/request/tests/test_departure.py
@@ -136,3 +136,26 @@
     assert isinstance(found, request.Turned)
     assert found.reason == 'held-off'
     assert found.retry_after_s == pytest.approx(2.0)
+
+
+def test_one_whose_bytes_are_no_answers_is_left_out_for_a_while():
+    fleet = _fleet()
+    home = _home(fleet)
+    for _ in range(3):
+        ticket = fleet.sent(home, 'k', 1.0)
+        fleet.misbehaved(ticket, 1.1)
+        fleet.ended(ticket, 1.1)
+    assert home not in _served(fleet, 1.2)
+    assert home in _served(fleet, 60.0)
+
+
+def test_a_good_answer_in_between_clears_it():
+    fleet = _fleet()
+    home = _home(fleet)
+    for number in range(6):
+        ticket = fleet.sent(home, 'k', 1.0)
+        fleet.misbehaved(ticket, 1.1)
+        fleet.ended(ticket, 1.1)
+        if number % 2:
+            _answer(fleet, home, request.AnswerHead('r', sealed=True), 1.2)
+    assert home in _served(fleet, 1.3)
