End a connection whose handler ends without an answer; keep idle times true

Cause, found by reading the change: a handler that was cancelled from within left its caller waiting for ever, as a request that runs has no time-out of the connection; a connection that was taken for a server that holds off, and given back unused, counted as idle from then on, while the server's own time runs since its last answer; an accepted caller that had left could end a planned stop by its error. Change: the connection ends with its handler in each case; idle time counts from the last answer; such a caller is logged and passed over. Both tests failed before.

--- a/ebonypick/connection/_caller_http.py
+++ b/ebonypick/connection/_caller_http.py
@@ -1,7 +1,6 @@
 """The adapter of callers that speak HTTP/1.1."""
 
 import asyncio
-import contextlib
 import socket
 
 from ebonypick.connection import _adapters
@@ -128,8 +127,10 @@
             await self._handler(req)
         except Exception as exc:
             await self.refuse(req, exc)
-        if not req.answered:
-            req.abort()
+        finally:
+            # Also where the handler was cancelled: nothing else answers it.
+            if not req.answered:
+                req.abort()
 
     async def refuse(self, req, exc):
         """Answer a request that failed, or break off its answer."""
@@ -187,6 +188,16 @@
             if conn.idle and not (spare_new and conn.expects_first):
                 conn.end()
 
+    async def _take_in(self, sock):
+        """Serve a connection that was accepted by hand."""
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.connect_accepted_socket(self._make_stream, sock)
+        except OSError as exc:
+            # Its caller may have left meanwhile; the others are served.
+            events.TASK_FAILED.log(task='accept', why=f'{exc!r}')
+            sock.close()
+
     async def stop_listening(self, spare_new=False):
         """Take no new connections and close the idle ones.
 
@@ -198,9 +209,8 @@
                 # Closing the last descriptor would reset what waits.
                 self._server.close()
                 accepted = _accept_all(waiting)
-            loop = asyncio.get_running_loop()
             for sock in accepted:
-                await loop.connect_accepted_socket(self._make_stream, sock)
+                await self._take_in(sock)
         await asyncio.sleep(0)
         self.close_idle(spare_new)
 
@@ -209,10 +219,15 @@
     """Return the connections that wait to be accepted."""
     listener.setblocking(False)
     found = []
-    with contextlib.suppress(BlockingIOError):
-        while True:
+    while True:
+        try:
             found.append(listener.accept()[0])
-    return found
+        except BlockingIOError:
+            return found
+        except OSError as exc:
+            # No descriptor is left: the rest would be reset in any case.
+            events.TASK_FAILED.log(task='accept', why=f'{exc!r}')
+            return found
 
 
 def make_caller_server(kind, address, port, handler):
--- a/ebonypick/connection/_exchange.py
+++ b/ebonypick/connection/_exchange.py
@@ -360,7 +360,9 @@
         reading = self._reading
         whole = reading is None or (reading.ended and reading.error is None)
         self._reading = None
-        self.idle_until = time.monotonic() + self._idle_s
+        if reading is not None:
+            # One that was given back unused has been idle since before.
+            self.idle_until = time.monotonic() + self._idle_s
         if not whole or self._closing or self._transport.is_closing():
             self.abort()
             return False
--- a/ebonypick/connection/tests/test_exchange.py
+++ b/ebonypick/connection/tests/test_exchange.py
@@ -141,3 +141,23 @@
 
     with pytest.raises(connection.ConnectFailedError):
         asyncio.run(run())
+
+
+def test_a_connection_given_back_unused_is_idle_since_its_last_answer():
+    """The server's own idle time-out began then."""
+    script = _Script((OURS, 'keep'))
+
+    async def run():
+        server = await asyncio.start_server(script.serve, '127.0.0.1', 0)
+        async with connection.ServerPool(
+            server.sockets[0].getsockname()[:2]
+        ) as pool:
+            await _ask(pool)
+            async with pool.connection() as conn:
+                before = conn.idle_until
+            after = conn.idle_until
+        server.close()
+        return before, after
+
+    before, after = asyncio.run(run())
+    assert before == after
--- a/ebonypick/connection/tests/test_pipelining.py
+++ b/ebonypick/connection/tests/test_pipelining.py
@@ -291,3 +291,28 @@
     rest, took_s = asyncio.run(play())
     assert rest == b''
     assert 0.1 < took_s < 2.0
+
+
+def test_a_handler_that_ends_without_an_answer_ends_the_connection():
+    """Also by being cancelled: a caller must not wait for ever."""
+
+    async def handle(req):
+        if req.path == '/cancelled':
+            raise asyncio.CancelledError
+
+    async def ask(path):
+        make = connection.make_caller_server
+        async with make('http', '127.0.0.1', 0, handle) as server:
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', server.port
+            )
+            writer.write(request(path))
+            try:
+                return await asyncio.wait_for(reader.read(), 5)
+            except ConnectionError:
+                return b''
+            finally:
+                writer.close()
+
+    assert asyncio.run(ask('/silent')) == b''
+    assert asyncio.run(ask('/cancelled')) == b''
