Split the records of the stand-in server and the calls of the scenes

What a server records, and what a caller's request is and what breaks a promise to it, have modules of their own; checks and assertions are as they were.

--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -15,7 +15,7 @@
 from tests.soak import promises
 from tests.soak import schedule
 from tests.soak import world as soak_world
-from tests import steering_world
+from tests import steering_calls
 
 SEEDS = flags.DEFINE_integer('seeds', 50, 'How many seeds to play.')
 FIRST = flags.DEFINE_integer(
@@ -64,7 +64,7 @@
         await world.ready(name)
     await asyncio.sleep(RECOVERY_S)
     first = len(world.calls)
-    async with steering_world.caller_session() as session:
+    async with steering_calls.caller_session() as session:
         for number in range(LAST_CALLS):
             name = sorted(world.processes)[number % len(world.processes)]
             await world.call(session, name, 'read')
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -10,6 +10,7 @@
 
 from ebonypick import registry
 from tests.soak import world as soak_world
+from tests import steering_calls
 from tests import steering_world
 
 promises = registry.Registry('promise')
@@ -26,7 +27,7 @@
 @promises.register('requests')
 def check_requests(world):
     """Own whole answers, at most once, true refusals, nothing unasked."""
-    return steering_world.violations(world)
+    return steering_calls.violations(world)
 
 
 def _hosts_by_address(world):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,6 +12,7 @@
 from standins import pipelining
 from standins import store
 from tests.soak import proxy
+from tests import steering_calls
 from tests import steering_world
 
 CENTRES = steering_world.REGIONS
@@ -307,7 +308,7 @@
         tasks = set()
         hosts, known_until = [], 0.0
         connector = aiohttp.TCPConnector(limit=0)
-        async with steering_world.caller_session(
+        async with steering_calls.caller_session(
             connector=connector
         ) as session:
             while time.monotonic() < until:
@@ -357,7 +358,7 @@
 
     async def probe(self, name, until):
         """Ask a host for the routes of the newest versions, by turns."""
-        async with steering_world.caller_session() as session:
+        async with steering_calls.caller_session() as session:
             while time.monotonic() < until:
                 versions = [t.name for t in self.told if t.kind == 'config']
                 for number in versions[-2:]:
--- a/tests/steering_world.py
+++ b/tests/steering_world.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import contextlib
-import dataclasses
 import hashlib
 import itertools
 import json
@@ -19,70 +18,17 @@
 
 from standins import store
 from standins import upstream
+from tests import steering_calls
 
 ROOT = pathlib.Path(__file__).parent.parent
 REGIONS = {'a-1': 'a', 'b-1': 'b'}
-HOST = 'callers.example'
-PROMISES = (408, 421, 429, 503)
 START_S = 20.0
-DEADLINE_S = 3.0
 TIMEOUT_S = 2.0
 CALLERS_PORT = 8461
 PEER_PORT = 8470
 _networks = itertools.count(1)
 
 
-@dataclasses.dataclass(frozen=True)
-class Call:
-    """One attempt of a caller and what came of it.
-
-    Parameters
-    ==========
-    req, kind, target, digest : str
-        What was asked.
-    body : bytes
-        What was sent.
-    status : int
-        Of the answer; 0 where there was none.
-    answer : bytes
-        Its body.
-    headers : dict of str to str
-        By lower-case name.
-    sent_at, ended_at : float
-        Monotonic times.
-    host : str
-        The steering host that got it.
-    lifetime : int
-        Counts the starts of that host's process.
-    """
-
-    req: str
-    kind: str
-    target: str
-    digest: str
-    body: bytes
-    status: int
-    answer: bytes
-    headers: dict
-    sent_at: float
-    ended_at: float
-    host: str = ''
-    lifetime: int = 0
-
-    @property
-    def safe(self):
-        """Whether it may run more than once."""
-        return is_safe(self.kind)
-
-
-def is_safe(kind):
-    """Return whether requests of a kind may run more than once.
-
-    Probes of a version are reads too; their kinds begin with ``v``.
-    """
-    return kind == 'read' or kind.startswith('v')
-
-
 def make_config(number, **changes):
     """Return a configuration as an operator writes it."""
 
@@ -121,7 +67,7 @@
         },
         'hosts': [
             {
-                'host': HOST,
+                'host': steering_calls.HOST,
                 'paths': [
                     path('read', '/read/', 'safe', 'registry'),
                     path('act', '/act/', 'unsafe', 'registry'),
@@ -134,19 +80,6 @@
     return cfg
 
 
-def caller_session(**options):
-    """Return a session of HTTP that sends each request once.
-
-    The library's own repeat after a reset would bear the same id, which
-    callers give to one attempt only.
-    """
-    session = aiohttp.ClientSession(
-        cookie_jar=aiohttp.DummyCookieJar(), **options
-    )
-    session._retry_connection = False
-    return session
-
-
 class SteeringWorld:
     """A deployment of two data centres; an async context manager.
 
@@ -336,13 +269,17 @@
     async def call(self, session, name, kind, size=0, key=None):
         """Send one request and keep what came of it."""
         req, key, target = self._draw(kind, key)
-        body = b'' if is_safe(kind) else self.rng.randbytes(size or 200)
+        body = (
+            b''
+            if steering_calls.is_safe(kind)
+            else self.rng.randbytes(size or 200)
+        )
         lifetime = self.lifetimes[name]
         sent_at = time.monotonic()
         status, answer, headers = await self._exchange(
             session, name, kind, target, body, req, key
         )
-        call = Call(
+        call = steering_calls.Call(
             req,
             kind,
             target,
@@ -383,15 +320,17 @@
         lifetime = self.lifetimes[name]
         sent_at = time.monotonic()
         try:
-            async with asyncio.timeout(DEADLINE_S + 2):
-                answers = await conn.ask([_plain_get(*row) for row in drawn])
+            async with asyncio.timeout(steering_calls.DEADLINE_S + 2):
+                answers = await conn.ask(
+                    [steering_calls.plain_get(*row) for row in drawn]
+                )
         except TimeoutError:
             conn.open = False
             answers = []
         answers += [(0, b'', {})] * (count - len(answers))
         digest = hashlib.sha256(b'').hexdigest()
         calls = [
-            Call(
+            steering_calls.Call(
                 req,
                 kind,
                 target,
@@ -414,20 +353,22 @@
 
     async def _exchange(self, session, name, kind, target, body, req, key):
         headers = {
-            'Host': HOST,
+            'Host': steering_calls.HOST,
             'Attempt-Id': req,
-            'Deadline-Ms': str(round(DEADLINE_S * 1000)),
+            'Deadline-Ms': str(round(steering_calls.DEADLINE_S * 1000)),
             'Cookie': f'Affinity-Key={key}',
         }
         url = f'http://{self.address(name)}:{self.callers_port}{target}'
-        method = 'GET' if is_safe(kind) else 'POST'
+        method = 'GET' if steering_calls.is_safe(kind) else 'POST'
         try:
             async with session.request(
                 method,
                 yarl.URL(url, encoded=True),
                 headers=headers,
                 data=body or None,
-                timeout=aiohttp.ClientTimeout(total=DEADLINE_S + 2),
+                timeout=aiohttp.ClientTimeout(
+                    total=steering_calls.DEADLINE_S + 2
+                ),
             ) as resp:
                 found = {k.lower(): v for k, v in resp.headers.items()}
                 return resp.status, await resp.read(), found
@@ -437,7 +378,7 @@
     async def load(self, seconds, per_s, names=None):
         """Send requests of all kinds at a steady rate."""
         tasks = []
-        async with caller_session(
+        async with steering_calls.caller_session(
             connector=aiohttp.TCPConnector(limit=0)
         ) as session:
             end = time.monotonic() + seconds
@@ -454,55 +395,6 @@
             await asyncio.gather(*tasks)
 
 
-def _plain_get(req, key, target):
-    """Return the bytes of a request without a body."""
-    rows = [
-        f'GET {target} HTTP/1.1',
-        f'Host: {HOST}',
-        f'Attempt-Id: {req}',
-        f'Deadline-Ms: {round(DEADLINE_S * 1000)}',
-        f'Cookie: Affinity-Key={key}',
-    ]
-    return ('\r\n'.join(rows) + '\r\n\r\n').encode()
-
-
-def violations(world):
-    """Return what in a history breaks a promise to callers.
-
-    Parameters
-    ==========
-    world : SteeringWorld
-        With its calls and the runs of its backend servers.
-    """
-    runs = {}
-    for server in world.upstreams:
-        for run in server.runs:
-            runs.setdefault(run.req, []).append(run)
-    calls = {call.req: call for call in world.calls}
-    found = []
-    for call in world.calls:
-        own = runs.get(call.req, [])
-        whole = call.req.encode() + b'=' + call.body
-        if 200 <= call.status < 300 and call.answer != whole:
-            found.append(f'{call.req}: the answer is not its own')
-        if 200 <= call.status < 300 and 'server-seal' not in call.headers:
-            found.append(f'{call.req}: a success without a seal')
-        if not call.safe and len(own) > 1:
-            found.append(f'{call.req}: ran {len(own)} times')
-        if call.status in PROMISES and own:
-            found.append(f'{call.req}: {call.status}, and it ran')
-        if len(own) > 2:
-            found.append(f'{call.req}: more runs than attempts')
-    for req, own in runs.items():
-        for run in own:
-            call = calls.get(req)
-            if call is None:
-                found.append(f'{req}: nobody asked for it')
-            elif (run.target, run.digest) != (call.target, call.digest):
-                found.append(f'{req}: changed on its way')
-    return found
-
-
 def run_scene(folder, seed, play, **more):
     """Run a coroutine function with a deployment; return what it returns.
 
@@ -520,7 +412,7 @@
 
     async def run():
         async with SteeringWorld(folder, seed, **more) as world:
-            async with caller_session() as session:
+            async with steering_calls.caller_session() as session:
                 return await play(world, session)
 
     return asyncio.run(run())
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -5,10 +5,11 @@
 
 import pytest
 
+from standins import server_records
 from standins import upstream
 from tests.soak import promises
 from tests.soak import world as soak_world
-from tests import steering_world
+from tests import steering_calls
 
 HOST = 'a-1-h0'
 ADDRESS = '127.0.0.9'
@@ -30,7 +31,7 @@
     def arrive(self, at, req='r', cold=False):
         """Let a request reach the server."""
         self.server.arrivals.append(
-            upstream.Arrival(
+            server_records.Arrival(
                 req, self.server.instance, ADDRESS, at, cold, False
             )
         )
@@ -38,7 +39,7 @@
     def run(self, req, at):
         """Let the server run a request."""
         self.server.runs.append(
-            upstream.UpstreamRun(
+            server_records.UpstreamRun(
                 req, self.server.instance, 'registry', '/', 'GET', '', at
             )
         )
@@ -46,7 +47,7 @@
     def called(self, kind, status, sent_at, ended_at, req='r', headers=()):
         """Let a caller's request end."""
         self.calls.append(
-            steering_world.Call(
+            steering_calls.Call(
                 req,
                 kind,
                 '/',
@@ -107,7 +108,7 @@
 
 def test_arrivals_at_a_server_that_wants_nothing(world):
     world.server.hold_offs.append(
-        upstream.HoldOff(ADDRESS, world.server.instance, 10.0, 13.0)
+        server_records.HoldOff(ADDRESS, world.server.instance, 10.0, 13.0)
     )
     for at in (10.4, 11.0, 12.0, 13.1):
         world.arrive(at)
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -6,6 +6,7 @@
 import pytest_bdd
 
 from ebonypick import registry
+from tests import steering_calls
 from tests import steering_world
 
 SEED = 51
@@ -197,7 +198,7 @@
 def check_promises(world):
     """Check the callers' history against the servers' records."""
     assert len(world.calls) > LOAD_S * PER_S / 3
-    assert steering_world.violations(world) == []
+    assert steering_calls.violations(world) == []
 
 
 @pytest_bdd.then(
--- a/tests/test_steering_host.py
+++ b/tests/test_steering_host.py
@@ -7,6 +7,7 @@
 import pytest
 
 from standins import upstream
+from tests import steering_calls
 from tests import steering_world
 
 SEED = 51
@@ -118,7 +119,7 @@
             for _ in range(5)
         ]
         world.calls.remove(first)
-        return first, others, steering_world.violations(world)
+        return first, others, steering_calls.violations(world)
 
     first, others, broken = _scene(tmp_path, play)
     assert (first.status, first.answer) == (200, b'early')
@@ -137,7 +138,7 @@
     assert call.status == 504
     waited_s = call.ended_at - call.sent_at
     assert steering_world.TIMEOUT_S <= waited_s
-    assert waited_s < steering_world.DEADLINE_S
+    assert waited_s < steering_calls.DEADLINE_S
 
 
 def _read_spoilt_once(tmp_path, fault, others='shed'):
@@ -163,7 +164,7 @@
             if server is not home:
                 setattr(server.faults, others, 9)
         call = await world.call(session, name, 'read', key=1)
-        assert steering_world.violations(world) == []
+        assert steering_calls.violations(world) == []
         ended = {}
         while not ended:
             await asyncio.sleep(0.05)
@@ -335,7 +336,7 @@
         while len(server.runs) == before:
             await world.call(session, name, 'read')
             assert time.monotonic() < refused_at + 10.0
-        return len(late), steering_world.violations(world)
+        return len(late), steering_calls.violations(world)
 
     late, broken = _scene(tmp_path, play)
     assert late <= 2
