--- a/ebonypick/cli/tests/test_steering_commands.py
+++ b/ebonypick/cli/tests/test_steering_commands.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 
+from tests import steering_calls
 from tests import steering_world
 
 
@@ -72,7 +73,7 @@
 
 def test_a_route_is_explained(tmp_path):
     dump = _dump(tmp_path)
-    words = ('steer-route', steering_world.HOST, '/read/x')
+    words = ('steer-route', steering_calls.HOST, '/read/x')
     code, text = _call(*words, '17', dump, '--json')
     assert code == 0
     (rows,) = json.loads(text).values()
