Decode the headers of both sides by one function

Cause: the callers' and the servers' side each had the same function for a header's text. It stands in connection/_headers.py now. No behaviour changes: the tests of connections pass, the formatter and linter are clean.

--- a/ebonypick/connection/_caller_stream.py
+++ b/ebonypick/connection/_caller_stream.py
@@ -14,6 +14,7 @@
 from ebonypick.connection import _answer_order
 from ebonypick.connection import _caller_request
 from ebonypick.connection import _head_limit
+from ebonypick.connection import _headers
 from ebonypick import errors
 
 METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
@@ -152,7 +153,8 @@
             method,
             self._url.decode('ascii'),
             multidict.CIMultiDict(
-                (_text(name), _text(value)) for name, value in self._rows
+                (_headers.decode(name), _headers.decode(value))
+                for name, value in self._rows
             ),
         )
         self.takes_chunks = self._parser.get_http_version() == '1.1'
@@ -358,11 +360,6 @@
             self._look_again()
 
 
-def _text(data):
-    """Return a header's text, from which its bytes can be made again."""
-    return data.decode('utf-8', 'surrogateescape')
-
-
 def _cause(exc, data):
     """Return the error that tells a caller what is wrong with its bytes.
 
--- a/ebonypick/connection/_exchange.py
+++ b/ebonypick/connection/_exchange.py
@@ -19,6 +19,7 @@
 import httptools
 
 from ebonypick.connection import _head_limit
+from ebonypick.connection import _headers
 from ebonypick.connection import _pool
 from ebonypick import errors
 
@@ -173,7 +174,9 @@
     def on_header(self, name, value):
         """Take in one header, or one after a body in chunks."""
         self._limit.take(len(name) + len(value))
-        self._rows.append((_text(name), _text(value).strip()))
+        self._rows.append(
+            (_headers.decode(name), _headers.decode(value).strip())
+        )
 
     def on_headers_complete(self):
         """Check whose answer it is."""
@@ -373,8 +376,3 @@
         self._closing = True
         if self._transport is not None:
             self._transport.abort()
-
-
-def _text(data):
-    """Return a header's text, from which its bytes can be made again."""
-    return data.decode('utf-8', 'surrogateescape')
--- a/ebonypick/connection/_headers.py
+++ b/ebonypick/connection/_headers.py
@@ -37,6 +37,11 @@
 _OWN_PREFIX = 'ebonypick-'
 
 
+def decode(data):
+    """Return a header's text, from which its bytes can be made again."""
+    return data.decode('utf-8', 'surrogateescape')
+
+
 def end_to_end(headers):
     """Return the headers that are passed on, without our own.
 
