Follow the store when it comes back from an older copy

Cause: versions of the store were compared as plain numbers.

Change: a Revision is an era (header of every answer) and a number, compared in this order, decoded in ebonypick/platform and carried by rows, tables, told messages and gossip. Comparisons of a revision, all of them: TableRows (take_whole, take_changes, take_told, _older, told), Teller (told, passed on), StoreView.hear, Control._tell_rows, HostRows._remove, TableStore (pages, answers sent in an earlier era), StoreView._supersedes (a configuration with a number used before). Registrations and departures compare starts and counts of the servers themselves and need no era. Rows known from before that the older copy lacks or has otherwise are kept until written again, for a bounded time, and told on with it; so the late removals of lapsed rows need no telling of their own any more. Each host writes its own row again, spread over time.

An era that is missing, unreadable or behind counts as the known one, unless the era rose while the call was under way: then the answer is out of date and refused.

--- a/bench/steering.py
+++ b/bench/steering.py
@@ -9,7 +9,7 @@
 import tracemalloc
 
 from ebonypick import platform
-from ebonypick.process import _tables
+from ebonypick.process import _table_rows
 from ebonypick import request
 
 SIZES = (20, 150, 600, 2_000)
@@ -75,18 +75,25 @@
 
 def measure_table(count):
     """Return microseconds to take in and to tell one changed row."""
-    follower = _tables.TableFollower(None, 't', lambda rows: None, tuple)
-    value = base64.b64encode(b'x' * 250).decode()
-    rows = tuple((f'k{n}', n + 1, value) for n in range(count))
-    follower.take_told(_tables.PeerRows('t', -1, count, rows))
+    found = _table_rows.TableRows('t', kept_s=1.0)
+    value = b'x' * 250
+    rows = tuple(
+        platform.TableRow(f'k{n}', value, platform.Revision(0, n + 1))
+        for n in range(count)
+    )
+    state = platform.TableState(platform.Revision(0, count), rows)
+    found.take_whole(state, 0.0)
+    encoded = base64.b64encode(value).decode()
 
     def change(number):
-        revision = count + 1 + number
-        told = _tables.PeerRows(
-            't', revision - 1, revision, (('k0', revision, value),)
+        before = found.revision
+        revision = platform.Revision(0, count + 1 + number)
+        told = _table_rows.PeerRows(
+            't', before, revision, (('k0', revision, encoded),)
         )
-        follower.take_told(told)
-        follower.told(revision - 1)
+        found.take_told(told, 0.0)
+        found.values()
+        found.told(before, 0.0)
 
     return round(_time_us(change, 200))
 
--- a/ebonypick/events.py
+++ b/ebonypick/events.py
@@ -168,6 +168,28 @@
     'table',
     'revision',
 )
+STORE_RESTORED = define(
+    'EP1419',
+    'The store came back from an older copy; rows known from before hold '
+    'until they are written again.',
+    'table',
+    'known',
+    'revision',
+    'kept',
+)
+KEPT_ENDED = define(
+    'EP1420',
+    'Rows that were not written again in time are as the store has them now.',
+    'table',
+    'revision',
+    'keys',
+)
+ERA_ODD = define(
+    'EP1421',
+    'An answer of the store tells no era, or one that is behind.',
+    'header',
+    'era',
+)
 PEER_FAILED = define(
     'EP1414',
     'Rows did not go between this host and another.',
--- a/ebonypick/platform/_store.py
+++ b/ebonypick/platform/_store.py
@@ -8,6 +8,8 @@
 import msgspec
 
 from ebonypick import connection
+from ebonypick import events
+from ebonypick.platform import _revision
 
 OPERATOR_TABLE = 'op'
 SERVER_TABLE = 'servers'
@@ -17,6 +19,10 @@
 # What a feed may take beyond the time that it waits at the store.
 FEED_EXTRA_S = 1.0
 PAGE_ROWS = 500
+# In each answer: how often the store has come back from an older copy.
+_ERA = 'store-era'
+# More digits than any count of restores has.
+_ERA_DIGITS_MOST = 15
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,13 +35,13 @@
         Its key.
     value : bytes or None
         Its value; None where the row was removed.
-    revision : int
+    revision : Revision
         The store's revision of its last change.
     """
 
     key: str
     value: bytes | None
-    revision: int = 0
+    revision: _revision.Revision
 
 
 @dataclasses.dataclass(frozen=True)
@@ -44,13 +50,13 @@
 
     Parameters
     ==========
-    revision : int
+    revision : Revision
         The store's newest revision then.
     rows : tuple of TableRow
         The rows, or those that changed.
     """
 
-    revision: int
+    revision: _revision.Revision
     rows: tuple[TableRow, ...]
 
 
@@ -101,15 +107,30 @@
     return table, name
 
 
-def _table_row(row):
+def _state(era, found, rows):
+    return TableState(
+        _revision.Revision(era, found.ver),
+        tuple(_table_row(era, row) for row in rows),
+    )
+
+
+def _table_row(era, row):
+    revision = _revision.Revision(era, row.ver)
     if row.tombstone or row.value is None:
-        return TableRow(row.key, None, row.ver)
+        return TableRow(row.key, None, revision)
     try:
         value = base64.b64decode(row.value)
     except ValueError:
         # Nothing can be read of it; it is skipped, and logged, as a value.
         value = row.value.encode()
-    return TableRow(row.key, value, row.ver)
+    return TableRow(row.key, value, revision)
+
+
+def _decode_era(text):
+    """Return the era that a header tells, or None where it tells none."""
+    if text.isdecimal() and len(text) <= _ERA_DIGITS_MOST:
+        return int(text)
+    return None
 
 
 @connection.platform_adapters.register('table')
@@ -119,15 +140,61 @@
     Keys of single rows are a table and a name with a slash between.
     """
 
+    def __init__(self, address, port, local_address=None):
+        super().__init__(address, port, local_address)
+        self._era = 0
+        self._odd_era = None
+
+    @property
+    def era(self):
+        """The highest era that is known."""
+        return self._era
+
+    def note_era(self, era):
+        """Take in an era that another host has seen."""
+        self._era = max(self._era, era)
+
+    def _era_of(self, text, sent_in):
+        """Return the era of an answer.
+
+        Explanation
+        ===========
+        A header that is missing, unreadable or behind counts as the era
+        known, so that a faulty one leaves no host blind. Where the era has
+        risen since the call was sent, it shows an answer from before: what
+        it says is not to be taken for news.
+
+        Parameters
+        ==========
+        text : str
+            The header; empty where there is none.
+        sent_in : int
+            The era known as the call was sent.
+        """
+        era = _decode_era(text)
+        if era is not None and era >= self._era:
+            self._era = era
+            return era
+        # A store that knows no eras sends no header; that is no fault.
+        if text != self._odd_era and (text or self._era):
+            self._odd_era = text
+            events.ERA_ODD.log(header=text[:_ERA_DIGITS_MOST], era=self._era)
+        if sent_in < self._era:
+            raise self._error('the answer is older than the store of now')
+        return self._era
+
     async def _call(self, method, path, data=None, timeout_s=CALL_TIMEOUT_S):
         headers = [('content-type', 'application/json')] if data else []
+        sent_in = self._era
         try:
             # Bounds the body too: its rest may never come.
             async with asyncio.timeout(timeout_s):
                 async with self._pool.request(
                     method, path, headers, data
                 ) as resp:
-                    return resp.status, await connection.read_message(resp)
+                    body = await connection.read_message(resp)
+                    era = self._era_of(resp.headers.get(_ERA, ''), sent_in)
+                    return resp.status, body, era
         except (connection.ConnectFailedError, connection.LostError) as exc:
             self._pool.retire()
             raise self._error(exc) from exc
@@ -136,13 +203,13 @@
             raise self._error(f'{exc!r}') from exc
 
     async def _get_rows(self, path, timeout_s=CALL_TIMEOUT_S):
-        status, body = await self._call('GET', path, timeout_s=timeout_s)
+        status, body, era = await self._call('GET', path, timeout_s=timeout_s)
         if status == 410:
             raise HistoryGoneError(path)
         if status != 200:
             raise self._error(f'status {status}')
         try:
-            return msgspec.json.decode(body, type=_Rows)
+            return msgspec.json.decode(body, type=_Rows), era
         except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
             raise self._error(exc) from exc
 
@@ -155,26 +222,30 @@
             If the store did not answer.
         """
         path = f'/rows-get?table={table}&part=&limit={PAGE_ROWS}'
-        found = await self._get_rows(path)
+        found, era = await self._get_rows(path)
         # Later pages may be newer; the feed from the first one's revision
         # brings what changed between them.
-        revision = found.ver
+        first = found
         rows = list(found.rows)
         while found.hasMore:
             # The next key in byte order is this one and a zero byte.
             after = urllib.parse.quote(rows[-1].key + '\0', safe='')
-            found = await self._get_rows(f'{path}&from={after}')
+            found, page_era = await self._get_rows(f'{path}&from={after}')
+            if page_era != era:
+                raise self._error('an older copy came between two pages')
             rows += found.rows
-        return TableState(revision, tuple(_table_row(row) for row in rows))
+        return _state(era, first, rows)
 
     async def watch(self, table, revision, wait_s):
         """Return what changed in a table after a revision, once it did.
 
+        In a later era than the revision's the rows are no changes to it.
+
         Parameters
         ==========
         table : str
             The table.
-        revision : int
+        revision : Revision
             As of the last answer.
         wait_s : float
             Longest time to wait for a change.
@@ -186,12 +257,11 @@
         HistoryGoneError
             If the table has to be read anew.
         """
-        path = f'/rows-feed?table={table}&after={revision}'
-        found = await self._get_rows(
+        path = f'/rows-feed?table={table}&after={revision.number}'
+        found, era = await self._get_rows(
             f'{path}&waitMs={round(wait_s * 1000)}', wait_s + FEED_EXTRA_S
         )
-        rows = tuple(_table_row(row) for row in found.rows)
-        return TableState(found.ver, rows)
+        return _state(era, found, found.rows)
 
     async def write(self, transaction):
         """Write rows; return whether the conditions held.
@@ -219,7 +289,7 @@
             value = base64.b64encode(msgspec.json.encode(put.value))
             puts.append(_Put(*_split(put.key), value=value.decode()))
         data = msgspec.json.encode(_Transaction(conditions, puts, removed))
-        status, _ = await self._call('POST', '/rows-tx', data)
+        status, _, _ = await self._call('POST', '/rows-tx', data)
         if status not in (200, 412):
             raise self._error(f'status {status}')
         return status == 200
--- a/ebonypick/process/_records.py
+++ b/ebonypick/process/_records.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from ebonypick import platform
+
 
 class HostRecord(msgspec.Struct, frozen=True, array_like=True):
     """What an entry host says of itself to its data centre.
@@ -79,7 +81,7 @@
         A lower bound of the platform's time, where it knows one.
     hosts, centres : tuple
         Records, newest first.
-    revisions : dict of str to int
+    revisions : dict of str to Revision
         By table of the platform's store: as of when the sender knows it.
     """
 
@@ -89,4 +91,4 @@
     platform_s: float | None
     hosts: tuple[HostRecord, ...]
     centres: tuple[CentreRecord, ...]
-    revisions: dict[str, int] = {}
+    revisions: dict[str, platform.Revision] = {}
--- a/ebonypick/process/_steering_control.py
+++ b/ebonypick/process/_steering_control.py
@@ -105,7 +105,9 @@
         if follower is None:
             await req.respond(404, [])
             return
-        after = int(req.query.get('after', '-1'))
+        after = platform.Revision(
+            int(req.query.get('era', '0')), int(req.query.get('after', '-1'))
+        )
         if follower.revision <= after:
             await req.respond(204, [])
             return
--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -174,7 +174,7 @@
     def hear_version(self, number, source):
         """Fetch a newer configuration from the host that has it."""
         if number > self.board.number:
-            self.store_view.ask(platform.OPERATOR_TABLE, source)
+            self.store_view.ask(platform.OPERATOR_TABLE, source, whole=True)
 
     def hear_platform_time(self, platform_s):
         """Ignore the time that other hosts know; nothing here needs it."""
--- a/ebonypick/process/_store_view.py
+++ b/ebonypick/process/_store_view.py
@@ -8,9 +8,15 @@
 from ebonypick.process import _host_rows
 from ebonypick.process import _peer_directory
 from ebonypick.process import _registrations
+from ebonypick.process import _row_age
 from ebonypick.process import _tables
 from ebonypick.process import _telling
 
+# An operator who wrote again all that an older copy of the store lacks has
+# done so in two seconds. What it leaves out, such as the evacuation of a data
+# centre, does less harm when it holds for a while than when it ends too soon.
+OPERATOR_KEPT_S = 10.0
+
 
 class StoreView:
     """Follows the tables, puts in force what they say, tells other hosts.
@@ -28,15 +34,25 @@
         self._servers = {}
         self._skipped = {}
         self._config_data = None
+        self._config_era = 0
         self.followers = {
             platform.OPERATOR_TABLE: self._follow(
-                platform.OPERATOR_TABLE, self._take_operator_rows
+                platform.OPERATOR_TABLE,
+                self._take_operator_rows,
+                kept_s=OPERATOR_KEPT_S,
+                later=_row_age.operator_row_later,
             ),
             platform.SERVER_TABLE: self._follow(
-                platform.SERVER_TABLE, self._take_server_rows, True
+                platform.SERVER_TABLE,
+                self._take_server_rows,
+                keep_lapsed=True,
+                later=_row_age.server_row_later,
             ),
             platform.HOST_TABLE: self._follow(
-                platform.HOST_TABLE, self._take_host_rows
+                platform.HOST_TABLE,
+                self._take_host_rows,
+                kept_s=_host_rows.KEPT_S,
+                later=_row_age.host_row_later,
             ),
         }
         self.teller = _telling.Teller(node, self.followers)
@@ -44,14 +60,14 @@
             node, self.followers[platform.HOST_TABLE]
         )
 
-    def _follow(self, table, publish, keep_lapsed=False):
+    def _follow(self, table, publish, **terms):
         return _tables.TableFollower(
             self._node.store,
             table,
             self._telling(table, publish),
             self._node.ends.pools,
             self._node.roster.reads_store,
-            keep_lapsed,
+            **terms,
         )
 
     def _telling(self, table, publish):
@@ -75,8 +91,10 @@
         except errors.ForeignValueError as exc:
             self._skip(platform.OPERATOR_TABLE, 'config', data, exc)
             return
-        if cfg.number <= self._node.board.number:
+        era = self._era_of_config()
+        if not self._supersedes(cfg, era):
             return
+        self._config_era = era
         self._node.board.publish(version=cfg)
         self._node.fleet.set_terms(cfg.services)
         self._node.apply_limits(cfg.limits)
@@ -85,6 +103,22 @@
             version=cfg.number, digest=None, source='store'
         )
 
+    def _era_of_config(self):
+        follower = self.followers[platform.OPERATOR_TABLE]
+        revision = follower.found_revision('config')
+        return self._config_era if revision is None else revision.era
+
+    def _supersedes(self, cfg, era):
+        """Return whether a configuration takes the place of that in force.
+
+        Numbers rise within an era of the store. One that was accepted and
+        then lost with the store's newest rows may be given to another.
+        """
+        number = self._node.board.number
+        if cfg.number == number:
+            return era > self._config_era
+        return cfg.number > number
+
     def _take_evacuations(self, rows):
         found = {platform.decode_evacuation(key) for key in rows}
         found = frozenset(found - {None})
@@ -136,6 +170,7 @@
 
     def _take_host_rows(self, rows):
         self._node.board.publish(hosts=_peer_directory.decode_rows(rows))
+        self.host_rows.look_after_own()
 
     def server_leaves(self, entry, req):
         """Take in, and tell, that a server says itself that it leaves.
@@ -177,8 +212,9 @@
             if follower is not None and revision > follower.revision:
                 self.ask(table, source)
 
-    def ask(self, table, source):
+    def ask(self, table, source, whole=False):
         """Take a table's newer rows from a host, if it can be reached."""
         pool = self._node.ends.peer(source)
         if pool is not None:
-            self._node.tasks.start(self.followers[table].ask_peer(pool))
+            follower = self.followers[table]
+            self._node.tasks.start(follower.ask_peer(pool, whole))
--- a/ebonypick/process/_telling.py
+++ b/ebonypick/process/_telling.py
@@ -16,7 +16,8 @@
 
 from ebonypick import connection
 from ebonypick import events
-from ebonypick.process import _tables
+from ebonypick import platform
+from ebonypick.process import _table_rows
 from ebonypick import request
 
 # A change is told again with the next messages; no need to wait for long.
@@ -40,7 +41,7 @@
     """
 
     root: str
-    rows: _tables.PeerRows
+    rows: _table_rows.PeerRows
     names: tuple[str, ...] = ()
 
     @property
@@ -116,7 +117,7 @@
     def __init__(self, node, followers):
         self._node = node
         self._followers = followers
-        # Revision and late removals up to which rows were told, by table.
+        # Revision up to which rows were told, by table.
         self._told = {}
         # The newest revision that was passed on, by root and table.
         self._passed_on = {}
@@ -125,11 +126,10 @@
         """Begin to tell what changed in a table; for readers."""
         follower = self._followers[table]
         host = self._node.settings.host
-        after, removals = self._told.get(table, (-1, 0))
-        state = (follower.revision, follower.late_removals)
-        if state <= (after, removals):
+        after = self._told.get(table, platform.NOTHING_KNOWN)
+        if follower.revision <= after:
             return
-        self._told[table] = state
+        self._told[table] = follower.revision
         await self._spread(Told(host, follower.told(after), self._below()))
 
     async def tell_leaving(self, instance, started_ms):
@@ -202,8 +202,8 @@
         if follower is None:
             return
         place = (told.root, told.rows.table)
-        # Late removals are told at a revision that was told before.
-        if told.rows.revision >= self._passed_on.get(place, -1):
+        passed_on = self._passed_on.get(place, platform.NOTHING_KNOWN)
+        if told.rows.revision >= passed_on:
             self._passed_on[place] = told.rows.revision
             self._node.tasks.start(self._spread(told))
         if not follower.take_told(told.rows):
--- /dev/null
+++ b/ebonypick/process/tests/test_table_rows.py
@@ -0,0 +1,296 @@
+"""What is known of a table while the store and other hosts tell of it."""
+
+import base64
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from ebonypick import platform
+from ebonypick.process import _table_rows
+
+TABLE = 'things'
+KEPT_S = 3.0
+KEYS = ('a', 'b', 'c')
+HOSTS = range(3)
+
+
+def _at(number, era=0):
+    return platform.Revision(era, number)
+
+
+def _state(number, *rows, era=0):
+    """Return an answer of the store; rows are keys, values and numbers."""
+    return platform.TableState(
+        _at(number, era),
+        tuple(
+            platform.TableRow(key, value, _at(ver, era))
+            for key, value, ver in rows
+        ),
+    )
+
+
+def _knowing(number, *rows, era=0):
+    """Return what a host knows that has read the whole table."""
+    found = _table_rows.TableRows(TABLE, KEPT_S)
+    found.take_whole(_state(number, *rows, era=era), 0.0)
+    return found
+
+
+def test_an_answer_on_its_way_does_not_undo_what_another_host_told():
+    """The store's answer is older than the rows that came meanwhile."""
+    rows = _knowing(5, ('a', b'x', 3), ('b', b'x', 4))
+    other = _knowing(9, ('a', b'new', 8), ('b', b'x', 4))
+    other.take_changes(_state(10, ('a', b'newer', 10)))
+    # Changes before those are missing here.
+    assert not rows.take_told(other.told(_at(9), 0.0), 0.0)
+    assert rows.take_told(other.told(_at(5), 0.0), 0.0)
+    rows.take_changes(
+        _state(7, ('a', b'old', 6), ('b', None, 7), ('c', b'new', 7))
+    )
+    assert rows.values() == {'a': b'newer', 'c': b'new'}
+    assert rows.revision == _at(10)
+    rows.take_changes(_state(8, ('b', b'old', 6)))
+    assert 'b' not in rows.values()
+
+
+def test_a_row_that_lapsed_is_kept_as_long_at_hosts_that_are_told():
+    """They need not hear again of its end."""
+    reader = _knowing(5, ('a', b'x', 3), ('b', b'x', 3))
+    host = _knowing(5, ('a', b'x', 3), ('b', b'x', 3))
+    reader.take_whole(_state(7, ('b', b'x', 3)), 0.0, lapsed_until=2.0)
+    host.take_told(reader.told(_at(5), 0.5), 0.5)
+    assert host.revision == _at(7)
+    for rows in (reader, host):
+        assert rows.settle(1.9) == []
+        assert set(rows.values()) == {'a', 'b'}
+        assert rows.settle(2.0) == ['a']
+        assert set(rows.values()) == {'b'}
+
+
+def test_a_row_that_lapsed_ends_also_where_another_host_tells_changes():
+    reader = _knowing(5, ('a', b'x', 3), ('b', b'x', 3))
+    reader.take_whole(_state(7, ('b', b'x', 3)), 0.0, lapsed_until=2.0)
+    other = _knowing(7, ('b', b'x', 3))
+    other.take_changes(_state(9, ('c', b'x', 9)))
+    reader.take_told(other.told(_at(7), 0.0), 0.0)
+    reader.settle(2.0)
+    assert set(reader.values()) == {'b', 'c'}
+
+
+def test_what_another_host_keeps_does_not_undo_a_newer_row():
+    reader = _knowing(5, ('a', b'x', 3))
+    reader.take_whole(_state(7), 0.0, lapsed_until=2.0)
+    host = _knowing(9, ('a', b'new', 9))
+    host.take_told(reader.told(_at(5), 0.0), 0.0)
+    assert host.values() == {'a': b'new'}
+    host.settle(9.0)
+    assert host.values() == {'a': b'new'}
+
+
+@pytest.mark.parametrize('value', ['a', 'aGVsbG8=\udcff'])
+def test_nothing_is_taken_of_rows_that_cannot_be_read_in_part(value):
+    rows = _knowing(5, ('k', b'good', 5))
+    good = base64.b64encode(b'new').decode()
+    broken = _table_rows.PeerRows(
+        TABLE,
+        platform.NOTHING_KNOWN,
+        _at(7),
+        (('n', _at(7), good), ('k', _at(7), value)),
+    )
+    with pytest.raises(ValueError):
+        rows.take_told(broken, 0.0)
+    assert rows.values() == {'k': b'good'}
+    assert rows.revision == _at(5)
+
+
+def test_a_later_era_goes_before_higher_numbers_of_an_earlier_one():
+    rows = _knowing(90, ('a', b'old', 80))
+    rows.take_whole(_state(40, ('a', b'old', 30), era=1), 0.0)
+    assert rows.revision == _at(40, era=1)
+    rows.take_changes(_state(41, ('a', b'new', 41), era=1))
+    assert rows.values() == {'a': b'new'}
+    stale = _knowing(99, ('a', b'stale', 99))
+    assert rows.take_told(stale.told(platform.NOTHING_KNOWN, 0.0), 0.0)
+    assert rows.values() == {'a': b'new'}
+    assert rows.revision == _at(41, era=1)
+
+
+def test_a_removed_row_that_an_older_copy_still_has_stays_out():
+    rows = _knowing(70, ('gone', b'x', 60), ('here', b'x', 61))
+    rows.take_changes(_state(80, ('gone', None, 80)))
+    rows.take_whole(
+        _state(75, ('gone', b'x', 60), ('here', b'x', 61), era=1), 0.0
+    )
+    assert set(rows.values()) == {'here'}
+    # It is removed again.
+    rows.take_changes(_state(76, ('gone', None, 76), era=1))
+    rows.settle(KEPT_S)
+    assert set(rows.values()) == {'here'}
+
+
+def test_a_row_written_since_the_restore_is_taken_at_once():
+    rows = _knowing(80, ('a', b'x', 60))
+    rows.take_whole(_state(82, ('a', b'y', 81), ('n', b'z', 82), era=1), 0.0)
+    assert rows.values() == {'a': b'y', 'n': b'z'}
+    assert not rows.kept_count
+
+
+def test_a_host_that_starts_after_the_restore_learns_what_others_keep():
+    """It has read only the older copy."""
+    rows = _knowing(90, ('a', b'old', 50))
+    rows.take_changes(_state(95, ('a', b'new', 95), ('b', b'new', 95)))
+    copy = _state(60, ('a', b'old', 50), era=1)
+    rows.take_whole(copy, 10.0)
+    started = _table_rows.TableRows(TABLE, KEPT_S)
+    started.take_whole(copy, 10.5)
+    assert started.values() == {'a': b'old'}
+    told = rows.told(platform.NOTHING_KNOWN, 11.0)
+    started.take_told(told, 11.0)
+    assert started.values() == {'a': b'new', 'b': b'new'}
+    assert started.kept_until == pytest.approx(13.0)
+
+
+def test_who_knew_more_before_the_restore_tells_who_knew_less():
+    rows = [_knowing(90, ('a', b'old', 50)) for _ in range(2)]
+    rows[1].take_changes(_state(95, ('a', b'new', 95)))
+    copy = _state(60, ('a', b'older', 40), era=1)
+    for found in rows:
+        found.take_whole(copy, 0.0)
+    for teller, hearer in ((0, 1), (1, 0)):
+        rows[hearer].take_told(rows[teller].told(_at(60, 1), 0.0), 0.0)
+    assert [found.values() for found in rows] == 2 * [{'a': b'new'}]
+
+
+def test_changes_across_eras_are_told_as_a_whole_table():
+    rows = _knowing(60, ('a', b'x', 40), era=1)
+    assert rows.told(_at(90), 0.0).base == platform.NOTHING_KNOWN
+    assert rows.told(_at(60, era=1), 0.0).base == _at(60, era=1)
+    odd = _table_rows.PeerRows(TABLE, _at(5), _at(61, era=1), ())
+    assert not _knowing(9, ('a', b'x', 4)).take_told(odd, 0.0)
+
+
+class _Drills(stateful.RuleBasedStateMachine):
+    """A store with restores, and hosts that read it or hear of it.
+
+    However reads, feeds, telling and restores interleave, all hosts end with
+    the store's rows once it is quiet.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.era = 0
+        self.number = 0
+        self.found = {}
+        self.history = []
+        self.copies = [(0, {}, [])]
+        self.answers = []
+        self.written = 0
+        self.hosts = [_table_rows.TableRows(TABLE, KEPT_S) for _ in HOSTS]
+
+    def _set(self, key, value):
+        self.number += 1
+        if value is None:
+            self.found.pop(key, None)
+        else:
+            self.found[key] = (value, self.number)
+        self.history.append((self.number, key, value))
+
+    def _whole(self):
+        rows = [(key, *row) for key, row in self.found.items()]
+        return _state(self.number, *rows, era=self.era)
+
+    def _feed(self, after):
+        rows = [
+            (key, value, number)
+            for number, key, value in self.history
+            if number > after
+        ]
+        return _state(self.number, *rows, era=self.era)
+
+    @stateful.rule(key=st.sampled_from(KEYS))
+    def put(self, key):
+        """A writer sets a row to something new."""
+        self.written += 1
+        self._set(key, str(self.written).encode())
+
+    @stateful.rule(key=st.sampled_from(KEYS))
+    def remove(self, key):
+        """A writer removes a row."""
+        self._set(key, None)
+
+    @stateful.rule()
+    def copy(self):
+        """A copy is made."""
+        self.copies.append((self.number, dict(self.found), list(self.history)))
+
+    @stateful.rule(which=st.integers(0, 5))
+    def restore(self, which):
+        """The store comes back from a copy."""
+        copy = self.copies[-1 - which % len(self.copies)]
+        self.number, self.found = copy[0], dict(copy[1])
+        self.history = list(copy[2])
+        self.era += 1
+
+    @stateful.rule(host=st.sampled_from(HOSTS), lapses=st.booleans())
+    def read(self, host, lapses):
+        """A host asks for the whole table; the answer comes later."""
+        until = self.now + 2.0 if lapses else None
+        self.answers.append((host, self._whole(), until))
+
+    @stateful.rule(host=st.sampled_from(HOSTS))
+    def watch(self, host):
+        """A host asks for changes; the answer comes later."""
+        known = self.hosts[host].revision
+        if known.era == self.era and 0 <= known.number <= self.number:
+            self.answers.append((host, self._feed(known.number), 'feed'))
+
+    @stateful.rule(which=st.integers(0, 9))
+    def answer(self, which):
+        """An answer arrives, in any order."""
+        if not self.answers:
+            return
+        host, state, until = self.answers.pop(which % len(self.answers))
+        rows = self.hosts[host]
+        if until != 'feed':
+            rows.take_whole(state, self.now, until)
+        elif state.revision.era == rows.revision.era:
+            rows.take_changes(state)
+
+    @stateful.rule(
+        teller=st.sampled_from(HOSTS),
+        hearer=st.sampled_from(HOSTS),
+        whole=st.booleans(),
+    )
+    def tell(self, teller, hearer, whole):
+        """A host tells another."""
+        known = self.hosts[hearer].revision
+        after = platform.NOTHING_KNOWN if whole else known
+        told = self.hosts[teller].told(after, self.now)
+        self.hosts[hearer].take_told(told, self.now)
+
+    @stateful.rule(span_s=st.sampled_from([0.1, 1.0, 2.0]))
+    def wait(self, span_s):
+        """Time goes by."""
+        self.now += span_s
+        for rows in self.hosts:
+            rows.settle(self.now)
+
+    def teardown(self):
+        """End with one reader, who tells the others."""
+        self.now += KEPT_S
+        reader, *others = self.hosts
+        reader.take_whole(self._whole(), self.now)
+        for rows in others:
+            assert rows.take_told(
+                reader.told(rows.revision, self.now), self.now
+            )
+        self.now += KEPT_S
+        expected = {key: value for key, (value, _) in self.found.items()}
+        for rows in self.hosts:
+            rows.settle(self.now)
+            assert rows.values() == expected
+
+
+TestDrills = _Drills.TestCase
--- a/ebonypick/process/tests/test_tables.py
+++ b/ebonypick/process/tests/test_tables.py
@@ -1,7 +1,6 @@
 """Tables of the store, followed through its faults."""
 
 import asyncio
-import base64
 import contextlib
 import time
 
@@ -10,6 +9,7 @@
 
 from ebonypick import connection
 from ebonypick import platform
+from ebonypick.process import _table_rows
 from ebonypick.process import _tables
 from standins import store
 
@@ -49,7 +49,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _scene(peers=(), keep_lapsed=False):
+async def _scene(peers=(), **terms):
     async with store.Store() as stand_in:
         async with connection.make_platform(
             'table', '127.0.0.1', stand_in.port
@@ -60,7 +60,7 @@
                 TABLE,
                 published.append,
                 lambda: peers,
-                keep_lapsed=keep_lapsed,
+                **terms,
             )
             task = asyncio.create_task(follower.run())
             try:
@@ -167,13 +167,18 @@
 
     async def call_json(self, method, path):
         """Answer with the rows."""
-        told = _tables.PeerRows(TABLE, -1, 1_000, self._rows)
+        told = _table_rows.PeerRows(
+            TABLE,
+            platform.NOTHING_KNOWN,
+            platform.Revision(0, 1_000),
+            self._rows,
+        )
         return 200, msgspec.json.encode(told)
 
 
 def test_a_host_that_the_store_turns_away_hears_of_changes_from_others():
     async def run():
-        peer = _Peer((('n', 900, 'eA=='),))
+        peer = _Peer((('n', platform.Revision(0, 900), 'eA=='),))
         async with _scene(peers=(peer,)) as scene:
             scene.put('a', b'1')
             await scene.until('a')
@@ -196,89 +201,95 @@
     asyncio.run(asyncio.wait_for(run(), TIMEOUT_S))
 
 
-def _told(base, revision, *rows):
-    encoded = tuple((key, number, 'eA==') for key, number in rows)
-    return _tables.PeerRows(TABLE, base, revision, encoded)
-
-
-def _state(revision, *rows):
-    return platform.TableState(
-        revision, tuple(platform.TableRow(*row) for row in rows)
-    )
-
-
-def test_an_answer_on_its_way_does_not_undo_what_another_host_told():
-    """The store's answer is older than the rows that came meanwhile."""
-    follower = _tables.TableFollower(
-        None, TABLE, lambda rows: None, tuple, lambda: False
-    )
-    assert follower.take_told(_told(-1, 5, ('a', 3), ('b', 4)))
-    assert follower.take_told(_told(5, 9, ('a', 8)))
-    follower.take_changes(
-        _state(7, ('a', b'old', 6), ('b', None, 7), ('c', b'new', 7))
-    )
-    assert follower.rows == {'a': b'x', 'c': b'new'}
-    assert follower.revision == 9
-    follower.take_changes(_state(8, ('b', b'old', 6)))
-    assert 'b' not in follower.rows
-
-
-def _settled(follower, at):
-    """Let a reader come back from an outage and find a row lapsed."""
-    follower._back_at = at
-    follower._take_whole(
-        platform.TableState(7, (platform.TableRow('b', b'2', 3),))
-    )
-
-
-def _knowing(*names):
-    """Return a follower that knows rows, as of revision 5."""
-    follower = _tables.TableFollower(
-        None, TABLE, lambda rows: None, tuple, lambda: False
-    )
-    follower.take_told(_told(-1, 5, *((name, 3) for name in names)))
-    return follower
-
-
-def test_a_row_that_lapsed_is_removed_at_hosts_that_were_told_past_it():
-    """They heard of a later change while the reader still kept the row."""
-    reader = _knowing('a', 'b')
-    host = _knowing('a', 'b')
-    _settled(reader, time.monotonic())
-    host.take_told(reader.told(5))
-    assert host.revision == 7
-    assert set(host.rows) == {'a', 'b'}
-    before = reader.late_removals
-    reader._lapsed['a'] = 0.0
-    reader._settle(())
-    assert reader.late_removals == before + 1
-    host.take_told(reader.told(7))
-    assert set(host.rows) == {'b'}
-
-
-def test_a_lapsed_row_is_not_kept_because_another_host_tells_changes():
-    reader = _knowing('a', 'b')
-    _settled(reader, time.monotonic())
-    reader._lapsed['a'] = 0.0
-    reader.take_told(_told(7, 9, ('c', 9)))
-    reader._settle(())
-    assert set(reader.rows) == {'b', 'c'}
-
-
-def test_a_late_removal_does_not_undo_a_newer_row():
-    host = _knowing('a')
-    host.take_told(_told(5, 9, ('a', 9)))
-    host.take_told(_tables.PeerRows(TABLE, 7, 7, (), (('a', 7),)))
-    assert set(host.rows) == {'a'}
-
-
-def test_nothing_is_taken_of_rows_that_cannot_be_read_in_part():
-    published = []
-    follower = _tables.TableFollower(None, 't', published.append, lambda: ())
-    good = base64.b64encode(b'good').decode()
-    follower.take_told(_tables.PeerRows('t', -1, 5, (('k', 5, good),)))
-    broken = _tables.PeerRows('t', -1, 7, (('n', 7, good), ('k', 7, 'a')))
-    with pytest.raises(ValueError):
-        follower.take_told(broken)
-    assert follower.rows == {'k': b'good'}
-    assert follower.revision == 5
+def _copy_after(scene, *changes):
+    """Return a copy of the store, then make changes that it lacks."""
+    copy = scene.store.copy()
+    for key, value in changes:
+        if value is None:
+            scene.remove(key)
+        else:
+            scene.put(key, value)
+    return copy
+
+
+async def _drill(scene, copy, away_s=0.3):
+    """Let the store be away and come back from a copy."""
+    scene.store.faults.down = True
+    await asyncio.sleep(away_s)
+    lost = scene.store.restore(copy)
+    scene.store.faults.down = False
+    return lost
+
+
+async def _until_era(scene, era):
+    end = time.monotonic() + TIMEOUT_S
+    while scene.follower.revision.era < era:
+        assert time.monotonic() < end, scene.follower.revision
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize('away_s', [0.0, 0.3])
+def test_rows_that_an_older_copy_lacks_hold_until_they_are_back(away_s):
+    """Later changes with numbers given out again arrive at once."""
+
+    async def run():
+        async with _scene(kept_s=1.0) as scene:
+            for key in 'abc':
+                scene.put(key, b'old')
+            await scene.until('a', 'b', 'c')
+            changes = ('a', b'new'), ('b', None), ('d', b'new')
+            copy = _copy_after(scene, *changes)
+            await scene.until('a', 'c', 'd')
+            await _drill(scene, copy, away_s)
+            await _until_era(scene, 1)
+            scene.put('e', b'later')
+            await scene.until('a', 'c', 'd', 'e')
+            assert scene.follower.rows['a'] == b'new'
+            for key, value in changes:
+                scene.put(key, value) if value else scene.remove(key)
+            await asyncio.sleep(1.5)
+            assert scene.follower.rows == {
+                'a': b'new',
+                'c': b'old',
+                'd': b'new',
+                'e': b'later',
+            }
+
+    asyncio.run(run())
+
+
+def test_rows_that_are_not_written_again_are_as_the_copy_has_them():
+    async def run():
+        async with _scene(kept_s=1.0) as scene:
+            scene.put('a', b'old')
+            await scene.until('a')
+            copy = _copy_after(scene, ('a', b'new'), ('b', b'new'))
+            await scene.until('a', 'b')
+            await _drill(scene, copy)
+            await _until_era(scene, 1)
+            assert scene.follower.rows == {'a': b'new', 'b': b'new'}
+            await scene.until('a')
+            assert scene.follower.rows == {'a': b'old'}
+
+    asyncio.run(run())
+
+
+def test_two_restores_in_a_row_end_with_the_rows_of_the_last():
+    async def run():
+        async with _scene(kept_s=1.0) as scene:
+            scene.put('a', b'1')
+            await scene.until('a')
+            first = _copy_after(scene, ('b', b'2'))
+            await scene.until('a', 'b')
+            await _drill(scene, first)
+            await _until_era(scene, 1)
+            scene.put('c', b'3')
+            await scene.until('a', 'b', 'c')
+            await _drill(scene, first)
+            scene.put('b', b'4')
+            await _until_era(scene, 2)
+            assert set(scene.follower.rows) >= {'a', 'b'}
+            await scene.until('a', 'b')
+            assert scene.follower.rows == {'a': b'1', 'b': b'4'}
+
+    asyncio.run(run())
--- a/ebonypick/process/tests/test_telling.py
+++ b/ebonypick/process/tests/test_telling.py
@@ -8,6 +8,8 @@
 import pytest
 
 from ebonypick import connection
+from ebonypick import platform
+from ebonypick.process import _table_rows
 from ebonypick.process import _tables
 from ebonypick.process import _telling
 from ebonypick import request
@@ -18,6 +20,14 @@
 READERS = REGION[:2]
 
 
+def _rows():
+    """Return a table of one row."""
+    revision = platform.Revision(0, 7)
+    return _table_rows.PeerRows(
+        TABLE, platform.NOTHING_KNOWN, revision, (('k', revision, ''),)
+    )
+
+
 class _Region:
     """Hosts that reach each other without a network.
 
@@ -44,7 +54,10 @@
 
     def _teller(self, name, names, view):
         follower = _tables.TableFollower(
-            None, TABLE, lambda rows: self.heard.update([name]), lambda: ()
+            platform.TableStore('127.0.0.1', 1),
+            TABLE,
+            lambda rows: self.heard.update([name]),
+            lambda: (),
         )
         pools = {n: self._pool(name, n) for n in names}
         node = types.SimpleNamespace(
@@ -76,7 +89,7 @@
         return types.SimpleNamespace(call_json=call_json)
 
     async def _tell(self, readers):
-        rows = _tables.PeerRows(TABLE, -1, 7, (('k', 7, ''),))
+        rows = _rows()
         for reader in readers:
             follower = self.tellers[reader]._followers[TABLE]
             follower.take_told(rows)
@@ -134,7 +147,7 @@
 
 def test_a_message_without_names_is_taken_and_passed_on_to_nobody():
     region = _Region(REGION[:3])
-    rows = _tables.PeerRows(TABLE, -1, 7, (('k', 7, ''),))
+    rows = _rows()
     data = msgspec.json.encode(_telling.Told('host-0', rows))
 
     async def hear():
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,7 +1,8 @@
 """Stand-in for the users' store: tables of rows, feeds and objects.
 
 It keeps revisions and a bounded history, and fails as asked: down, slow,
-answers lost after the change, history dropped, some callers turned away.
+answers lost after the change, history dropped, some callers turned away,
+back from an older copy.
 """
 
 import asyncio
@@ -66,6 +67,25 @@
     turned_away: set = dataclasses.field(default_factory=set)
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreCopy:
+    """All rows as of one moment.
+
+    Parameters
+    ==========
+    revision : int
+        The count of changes then.
+    rows : dict
+        Values and revisions by place.
+    history : tuple
+        Revision, place and value of the changes before.
+    """
+
+    revision: int
+    rows: dict
+    history: tuple
+
+
 class Store:
     """The state, and the answers to calls; an async context manager.
 
@@ -100,6 +120,7 @@
         self._history = []
         self._dropped_to = 0
         self._revision = 0
+        self._era = 0
         self._limits = {'GET': reads_per_s, 'POST': writes_per_s}
         self._second = (0, collections.Counter())
         self._server = connection.make_caller_server(
@@ -145,6 +166,66 @@
         self._dropped_to = self._revision
         self._history = []
 
+    @property
+    def era(self):
+        """How often it has come back from an older copy."""
+        return self._era
+
+    def copy(self):
+        """Return a copy from which it can come back."""
+        return StoreCopy(
+            self._revision, dict(self._rows), tuple(self._history)
+        )
+
+    def restore(self, copy):
+        """Come back from a copy; return the rows of others that are lost.
+
+        Parameters
+        ==========
+        copy : StoreCopy
+            Of some time ago.
+
+        Returns
+        =======
+        list of (str, str, bytes or None)
+            Table, key and value of rows that the operator or servers wrote
+            since, None where they removed one: to be written again.
+        """
+        lost = [
+            (place[0], place[2], self._rows.get(place, (None, 0))[0])
+            for place in sorted(set(self._rows) | set(copy.rows))
+            if place[0] in READ_ONLY
+            and self._rows.get(place) != copy.rows.get(place)
+        ]
+        self._era += 1
+        self._revision = copy.revision
+        self._rows = dict(copy.rows)
+        self._history = list(copy.history)
+        return lost
+
+    def write_again(self, lost, copy):
+        """Write rows again that were lost, as their writers do.
+
+        Parameters
+        ==========
+        lost : list of (str, str, bytes or None)
+            As ``restore`` returned them.
+        copy : StoreCopy
+            What it came back from; rows that changed since stay.
+        """
+        changed = {
+            place
+            for revision, place, _ in self._history
+            if revision > copy.revision
+        }
+        for table, key, value in lost:
+            if (table, '', key) in changed:
+                continue
+            if value is None:
+                self.remove(table, key)
+            else:
+                self.put(table, key, value)
+
     def _set(self, table, part, key, value):
         place = (table, part, key)
         if value is None:
@@ -174,10 +255,10 @@
         if self.faults.delay_s:
             await asyncio.sleep(self.faults.delay_s)
         if self.faults.down or req.client in self.faults.turned_away:
-            await req.respond(503, JSON, b'{}')
+            await req.respond(503, self._headers(), b'{}')
             return
         if not self._allowed(req.method):
-            await req.respond(429, JSON, b'{}')
+            await req.respond(429, self._headers(), b'{}')
             return
         parts = []
         while (part := await req.read(5)) is not None:
@@ -187,7 +268,10 @@
             self.faults.lose_answers -= 1
             req.abort()
             return
-        await req.respond(status, JSON, body)
+        await req.respond(status, self._headers(), body)
+
+    def _headers(self):
+        return [*JSON, ('store-era', str(self._era))]
 
     async def _serve(self, req, body):
         call = req.path.split('/')[1]
@@ -263,7 +347,7 @@
         after = int(query['after'])
         end = time.monotonic() + int(query.get('waitMs', 0)) / 1000
         while True:
-            if after < self._dropped_to:
+            if after < self._dropped_to or after > self._revision:
                 return 410, b'{}'
             found = [
                 (place, value, revision)
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -20,6 +20,10 @@
 SPOILED += ('shed', 'hang', 'garbage')
 DELAY_S = 0.3
 COLD_S = 3.0
+# Writers have written again within that time what the store lost, and hosts
+# have heard of it a second later.
+REWRITE_MOST_S = 2.0
+REWRITTEN_S = 1.0
 # The platform's own steps, and an hour.
 STEPS_S = (2.0, 60.0, 3600.0)
 
@@ -250,6 +254,21 @@
         await asyncio.sleep(for_s / 4)
 
 
+@troubles.register('store comes back older')
+async def restore_store(world, rng, for_s):
+    """Let the store come back from a copy; its writers write again."""
+    copy = world.store.copy()
+    await asyncio.sleep(for_s)
+    with world.trouble('store'):
+        world.store.faults.down = True
+        await asyncio.sleep(rng.choice((0.1, 0.5, 2.0)))
+        lost = world.store.restore(copy)
+        world.store.faults.down = False
+        await asyncio.sleep(rng.uniform(0.0, REWRITE_MOST_S))
+        world.store.write_again(lost, copy)
+        await asyncio.sleep(REWRITTEN_S)
+
+
 # Backend servers and the operator.
 
 
--- /dev/null
+++ b/tests/test_restored_store.py
@@ -0,0 +1,337 @@
+"""The store comes back from an older copy, under steering hosts that serve.
+
+What was written since the copy is gone, its numbers are given out again, and
+the operator and the servers write theirs again within two seconds.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import signal
+import time
+
+import pytest
+
+from tests import steering_calls
+from tests import steering_world
+
+SEED = 71
+AWAY_S = 0.5
+REWRITE_S = 1.5
+DRAIN_S = 2.5
+TIMEOUT_S = 10.0
+OBJECTS = range(40)
+
+
+def _scene(tmp_path, play, **more):
+    return steering_world.run_scene(tmp_path, SEED, play, **more)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Drill:
+    """What a drill took away."""
+
+    copy: object
+    lost: list
+
+    def write_again(self, world):
+        """Let the operator and the servers write it again."""
+        world.store.write_again(self.lost, self.copy)
+
+
+async def _restore(world, copy, away_s=AWAY_S):
+    """Let the store be away and come back from a copy."""
+    world.store.faults.down = True
+    await asyncio.sleep(away_s)
+    lost = world.store.restore(copy)
+    world.store.faults.down = False
+    return _Drill(copy, lost)
+
+
+async def _until(check, what):
+    end = time.monotonic() + TIMEOUT_S
+    while not check():
+        assert time.monotonic() < end, what
+        await asyncio.sleep(0.02)
+
+
+def _events(world, name, code):
+    return [r for r in world.log_lines(name) if r['message_type'] == code]
+
+
+async def _until_restored(world, names, era=1):
+    """Wait until hosts know the store's era."""
+
+    def restored():
+        return all(
+            any(
+                row['revision'][0] >= era
+                for row in _events(world, name, 'EP1419')
+            )
+            for name in names
+        )
+
+    await _until(restored, 'a host does not know the era')
+
+
+@contextlib.asynccontextmanager
+async def _readers(world, session):
+    """Let callers read all objects again and again meanwhile."""
+
+    async def read():
+        for key in itertools.cycle(OBJECTS):
+            names = list(world.processes)
+            name = names[key % len(names)]
+            await world.call(session, name, 'read', key=key)
+            await asyncio.sleep(0.01)
+
+    task = asyncio.create_task(read())
+    try:
+        yield
+    finally:
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+
+def _config_with(number, prefix):
+    """Return a configuration with a route of its own."""
+    cfg = steering_world.make_config(number)
+    paths = cfg['hosts'][0]['paths']
+    paths.append({**paths[0], 'name': prefix, 'prefix': f'/{prefix}/'})
+    return cfg
+
+
+async def _until_status(world, session, name, kind, status):
+    end = time.monotonic() + TIMEOUT_S
+    found = None
+    while found != status:
+        assert time.monotonic() < end, f'{kind} is answered {found}'
+        found = (await world.call(session, name, kind)).status
+        await asyncio.sleep(0.05)
+
+
+def test_a_server_that_leaves_gets_nothing_though_its_word_is_lost(tmp_path):
+    async def play(world, session):
+        server = world.of('registry')[0]
+        copy = world.store.copy()
+        server.draining = True
+        world.register(server)
+        await asyncio.sleep(0.5)
+        async with _readers(world, session):
+            drill = await _restore(world, copy)
+            await _until_restored(world, world.processes)
+            await asyncio.sleep(REWRITE_S)
+            drill.write_again(world)
+            await asyncio.sleep(1.5)
+        told_at = time.monotonic()
+        return [a for a in server.arrivals if a.at > told_at - 4.5]
+
+    assert _scene(tmp_path, play) == []
+
+
+def test_a_server_that_left_is_not_used_because_a_copy_still_has_it(tmp_path):
+    """Its row was removed after the copy; hosts know nothing else of it."""
+
+    async def play(world, session):
+        server = world.of('registry')[0]
+        copy = world.store.copy()
+        world.store.remove('servers', server.instance)
+        await asyncio.sleep(0.5)
+        began = time.monotonic()
+        async with _readers(world, session):
+            drill = await _restore(world, copy)
+            await _until_restored(world, world.processes)
+            await asyncio.sleep(REWRITE_S)
+            drill.write_again(world)
+            await asyncio.sleep(1.5)
+        return [a for a in server.arrivals if a.at > began]
+
+    assert _scene(tmp_path, play) == []
+
+
+def test_new_servers_are_used_though_their_rows_are_lost_for_a_while(tmp_path):
+    async def play(world, session):
+        copy = world.store.copy()
+        old = world.of('registry')
+        new = [await world.add_upstream('registry', 'a-1') for _ in range(2)]
+        for server in old:
+            world.store.remove('servers', server.instance)
+        await asyncio.sleep(0.5)
+        for server in old:
+            await server.crash()
+        async with _readers(world, session):
+            drill = await _restore(world, copy)
+            await asyncio.sleep(REWRITE_S)
+            drill.write_again(world)
+            await asyncio.sleep(1.0)
+        refused = [c for c in world.calls if c.status != 200]
+        return refused, sum(len(server.arrivals) for server in new)
+
+    refused, arrivals = _scene(tmp_path, play)
+    assert refused == []
+    assert arrivals > 0
+
+
+@pytest.mark.parametrize('turned_away', [False, True])
+def test_a_configuration_stays_in_force_and_the_next_comes_at_once(
+    tmp_path, turned_away
+):
+    """The next one has the lost one's number, and a lower one of the store.
+
+    Half of the hosts may not reach the store meanwhile.
+    """
+
+    async def play(world, session):
+        names = list(world.processes)
+        world.store.put('op', 'config', _config_with(5, 'first'))
+        copy = world.store.copy()
+        for _ in range(20):
+            world.store.put('servers', 'x-1', b'{}')
+        world.store.put('op', 'config', _config_with(9, 'lost'))
+        for name in names:
+            await _until_status(world, session, name, 'lost', 200)
+        if turned_away:
+            world.store.faults.turned_away |= {
+                world.address(name) for name in names[::2]
+            }
+        await _restore(world, copy)
+        await _until_restored(world, names)
+        statuses = [
+            (await world.call(session, name, 'lost')).status for name in names
+        ]
+        at = time.monotonic()
+        world.store.put('op', 'config', _config_with(9, 'next'))
+        for name in names:
+            await _until_status(world, session, name, 'next', 200)
+        return statuses, time.monotonic() - at
+
+    statuses, in_force_s = _scene(tmp_path, play, hosts=2)
+    assert set(statuses) == {200}
+    assert in_force_s < DRAIN_S
+
+
+def test_an_evacuation_holds_though_the_store_forgot_it(tmp_path):
+    async def play(world, session):
+        copy = world.store.copy()
+        world.store.put('op', 'evacuate/a-1', {})
+        servers = [s for s in world.upstreams if s.data_centre == 'a-1']
+        await asyncio.sleep(1.0)
+        began = time.monotonic()
+        async with _readers(world, session):
+            first = await _restore(world, copy)
+            await _until_restored(world, world.processes)
+            second = await _restore(world, copy)
+            await _until_restored(world, world.processes, era=2)
+            await asyncio.sleep(REWRITE_S)
+            first.write_again(world)
+            second.write_again(world)
+            await asyncio.sleep(0.5)
+        late = [a for s in servers for a in s.arrivals if a.at > began]
+        world.store.remove('op', 'evacuate/a-1')
+        await asyncio.sleep(1.0)
+        async with _readers(world, session):
+            await asyncio.sleep(1.0)
+        back = [
+            a
+            for s in servers
+            for a in s.arrivals
+            if a.at > began and a not in late
+        ]
+        return late, len(back)
+
+    late, back = _scene(tmp_path, play)
+    assert late == []
+    assert back > 0
+
+
+def test_a_host_that_starts_in_the_drill_learns_what_the_store_lost(tmp_path):
+    async def play(world, session):
+        name, *others = world.processes
+        world.store.put('op', 'config', _config_with(5, 'first'))
+        copy = world.store.copy()
+        world.store.put('op', 'config', _config_with(9, 'lost'))
+        for host in world.processes:
+            await _until_status(world, session, host, 'lost', 200)
+        await world.end_host(name, signal.SIGKILL)
+        await _restore(world, copy)
+        await world.start_host(name, name.rpartition('-')[0])
+        await world.ready(name)
+        at = time.monotonic()
+        await _until_status(world, session, name, 'lost', 200)
+        return time.monotonic() - at
+
+    assert _scene(tmp_path, play, hosts=2) < DRAIN_S
+
+
+def test_a_host_that_was_cut_off_goes_over_to_the_new_era(tmp_path):
+    async def play(world, session):
+        name = next(iter(world.processes))
+        copy = world.store.copy()
+        for _ in range(50):
+            world.store.put('servers', 'x-1', b'{}')
+        await asyncio.sleep(0.5)
+        world.store.faults.silent = True
+        world.store.faults.turned_away.add(world.address(name))
+        await asyncio.sleep(AWAY_S)
+        world.store.restore(copy)
+        world.store.faults.silent = False
+        await asyncio.sleep(3.0)
+        world.store.faults.turned_away.clear()
+        server = world.of('registry')[0]
+        server.draining = True
+        world.register(server)
+        await asyncio.sleep(1.0)
+        at = time.monotonic()
+        async with _readers(world, session):
+            await asyncio.sleep(1.0)
+        return [a for a in server.arrivals if a.at > at]
+
+    assert _scene(tmp_path, play) == []
+
+
+def test_hosts_write_their_rows_again_each_once(tmp_path):
+    async def play(world, session):
+        copy = world.store.copy()
+        copy = dataclasses.replace(
+            copy,
+            rows={
+                place: row
+                for place, row in copy.rows.items()
+                if place[0] != 'ebonypick-hosts'
+            },
+        )
+        writes = world.store.writes
+        await _restore(world, copy)
+        await _until(
+            lambda: len(world.store.rows('ebonypick-hosts')) == 4,
+            'a host does not write its row again',
+        )
+        await asyncio.sleep(2.0)
+        named = [
+            await world.get(name, 8463, '/resolve?name=x&region=a&zone=a-1')
+            for name in world.processes
+        ]
+        return world.store.writes - writes, named
+
+    writes, named = _scene(tmp_path, play, hosts=2)
+    assert writes == 4
+    assert all(
+        body.count(str(steering_world.CALLERS_PORT).encode()) == 2
+        for _, body in named
+    )
+
+
+def test_no_promise_to_callers_is_broken_beside_a_drill(tmp_path):
+    async def play(world, session):
+        copy = world.store.copy()
+        load = asyncio.ensure_future(world.load(4.0, 60))
+        await asyncio.sleep(0.5)
+        drill = await _restore(world, copy)
+        await asyncio.sleep(REWRITE_S)
+        drill.write_again(world)
+        await load
+        return steering_calls.violations(world)
+
+    assert _scene(tmp_path, play) == []
