Let callers return at once to servers that turn them away with room

Change: the time to return follows from the work that the server reports: 0.05 s where it has a free slot, else when its queue has ended. The times stand in a module of their own. The model gains servers that shed by chance; a play checks what callers get.

Also in this commit: who sends to a cold server moves from Fleet to the module of cold servers, same behaviour.

--- a/ebonypick/experiment/_object_sites.py
+++ b/ebonypick/experiment/_object_sites.py
@@ -93,7 +93,10 @@
         How many times as long their work takes.
     how : str
         ``slow``; ``leaving`` where they say in their answers that they leave;
-        ``held-off`` where they refuse until its end, and say so.
+        ``held-off`` where they refuse until its end, and say so; ``shedding``
+        where they turn away a part of the requests though they have room.
+    shed_part : float
+        Of the requests at a server that sheds.
     """
 
     at: float
@@ -101,6 +104,7 @@
     part: float
     slow: float = 1.0
     how: str = 'slow'
+    shed_part: float = 0.0
 
 
 SITES = {
@@ -119,6 +123,19 @@
             ),
         ),
     ),
+    # A first answer is in time in the own region, not from another one.
+    'catalogue': ObjectSite(
+        servers=(1, 2, 3),
+        slots=3,
+        queue=9,
+        remembers=27,
+        between_s=0.055,
+        classes=(
+            RequestClass(
+                'look-up', True, 1.0, 0.36, 0.4, 1.0, 2.0, 1, 0.2, 26, 2
+            ),
+        ),
+    ),
     'uploads': ObjectSite(
         servers=(1, 3, 4),
         slots=3,
--- a/ebonypick/experiment/tests/test_objects.py
+++ b/ebonypick/experiment/tests/test_objects.py
@@ -11,6 +11,7 @@
 from ebonypick import request
 from ebonypick.request import _health
 from ebonypick.request import _nearness
+from ebonypick.request import _return_time
 from ebonypick.request import _server_state
 
 SECONDS = 24.0
@@ -156,3 +157,31 @@
     heeding = request.Fleet.answered
     monkeypatch.setattr(request.Fleet, 'answered', answered)
     assert _play_trouble(how)['unwanted'] > 0
+
+
+SEEDS = (1, 2, 3)
+
+
+def _play_catalogue(per_s, trouble=None):
+    """Return mean figures of several plays."""
+    found = [
+        _objects.play('catalogue', 'objects', per_s, SECONDS, seed, trouble)
+        for seed in SEEDS
+    ]
+    return {
+        name: sum(row[name] for row in found) / len(found) for name in found[0]
+    }
+
+
+def test_who_is_turned_away_in_spite_of_room_may_return_at_once(monkeypatch):
+    """Servers turn away half of the requests though slots are free."""
+    trouble = _object_sites.Trouble(
+        8.0, 16.0, 1.0, how='shedding', shed_part=0.5
+    )
+    found = _play_catalogue(100, trouble)
+    monkeypatch.setattr(_return_time, 'ROOM_S', _return_time.LEAST_S)
+    later = _play_catalogue(100, trouble)
+    assert found['worth'] > later['worth']
+    assert found['failed'] + found['refused'] <= (
+        later['failed'] + later['refused'] + 0.01
+    )
--- a/ebonypick/process/_attempt_series.py
+++ b/ebonypick/process/_attempt_series.py
@@ -10,8 +10,6 @@
 # A repeat that leaves less time than this share of the usual work is not
 # worth a slot.
 REPEAT_LEAST_SHARE = 0.5
-# What was turned away by a server may come back after about this time.
-TURNED_RETRY_S = 0.5
 
 
 class AttemptSeries:
@@ -30,6 +28,7 @@
         self._job = job
         self._made = []
         self._tried = set()
+        self._last_server = ''
         # Whether a server may have run the request.
         self._may_have_run = False
         # A server's failure, for the case that no attempt gives a better
@@ -118,14 +117,17 @@
         return errors.TurnedAwayError(
             service=self._job.service,
             reason=last.why,
-            retry_after_s=TURNED_RETRY_S,
+            retry_after_s=self._node.fleet.return_s(
+                self._last_server, time.monotonic()
+            ),
         )
 
     async def _attempt(self, choice):
         attempt = _server_attempt.ServerAttempt(
             self._node, self._job, choice, self.sent + 1
         )
-        self._tried.add(choice.entry.instance)
+        self._last_server = choice.entry.instance
+        self._tried.add(self._last_server)
         self._made.append(attempt)
         ended = await attempt.run()
         if ended.outcome is not request.Outcome.NOT_RUN:
--- a/ebonypick/request/_fleet.py
+++ b/ebonypick/request/_fleet.py
@@ -18,6 +18,7 @@
 from ebonypick.request import _nearness
 from ebonypick.request import _pace
 from ebonypick.request import _rank
+from ebonypick.request import _return_time
 from ebonypick.request import _server_state
 from ebonypick.request import _warmup
 
@@ -36,9 +37,6 @@
 # After it answers again it may have restarted: it counts as cold for the
 # time in which its new registration arrives.
 DOUBT_S = 4.0
-# A refused caller is told to come back when about one request has ended.
-RETRY_AFTER_LEAST_S = 0.4
-RETRY_AFTER_MOST_S = 2.0
 RANKINGS_KEPT = 20_000
 # Servers ranked for an object: some of them may be down or tried already.
 RANKED_MOST = 2 * WEIGHED_MOST
@@ -175,11 +173,11 @@
     def _pick(self, ask, usable, cold, now):
         if not usable:
             reason = 'cold' if cold else 'no-server'
-            return _choice.Turned(reason, RETRY_AFTER_LEAST_S)
+            return _choice.Turned(reason, _return_time.LEAST_S)
         home = usable[0]
         fill = HOME_FILL[min(ask.priority, len(HOME_FILL) - 1)]
         if ask.remaining_s < self._pace.least_s(home, now):
-            return _choice.Turned('late', RETRY_AFTER_LEAST_S)
+            return _choice.Turned('late', _return_time.LEAST_S)
         if home.on_hand(now) < fill and self._admitted(home, now):
             return self._chosen(home, 'home', now)
         by_load = sorted(usable, key=lambda server: server.on_hand(now))
@@ -188,9 +186,9 @@
                 break
             if self._admitted(server, now):
                 return self._chosen(server, 'idle', now)
-        excess = home.on_hand(now) - fill
-        wait_s = max(0.0, excess + 0.5) * self.work_s(ask.service)
-        wait_s = min(RETRY_AFTER_MOST_S, max(RETRY_AFTER_LEAST_S, wait_s))
+        wait_s = _return_time.after_full_s(
+            home.on_hand(now) - fill, self.work_s(ask.service)
+        )
         return _choice.Turned('full', wait_s)
 
     def _chosen(self, server, why, now):
@@ -207,15 +205,9 @@
 
     def _sends_to_cold(self, instance):
         """Return whether this entry host is the one that sends there."""
-        server = self._servers[instance]
-        near = [
-            name
-            for centre, names in self._hosts.items()
-            if self._regions.get(centre) == server.region
-            for name in names
-        ]
-        every = near or [n for names in self._hosts.values() for n in names]
-        return _rank.rendezvous(instance, every) == (self._host,)
+        region = self._servers[instance].region
+        sender = _warmup.sender(instance, region, self._hosts, self._regions)
+        return sender == self._host
 
     def _ranking(self, ask):
         """Return the instances to weigh, best first."""
@@ -263,6 +255,13 @@
         """Return the usual time of a request of a service."""
         return self._pace.work_s(service)
 
+    def return_s(self, instance, now):
+        """Return when a caller may come back whom a server turned away."""
+        server = self._servers.get(instance)
+        on_hand = 0.0 if server is None else server.on_hand(now)
+        service = '' if server is None else server.entry.service
+        return _return_time.after_shed_s(on_hand, self.work_s(service))
+
     # What becomes of requests.
 
     def sent(self, instance, object_key, now):
--- a/ebonypick/request/_warmup.py
+++ b/ebonypick/request/_warmup.py
@@ -11,11 +11,35 @@
 
 import dataclasses
 
+from ebonypick.request import _rank
+
 # A share of the allowance, so that three senders at once stay within it:
 # the allowance is 1.5 times the server's rate and some requests more.
 SHARE_OF_RATE = 0.5
 
 
+def sender(instance, region, hosts, regions):
+    """Return the entry host that sends to a cold server.
+
+    Parameters
+    ==========
+    instance, region : str
+        The server, and where it stands.
+    hosts : dict of str to tuple of str
+        The live entry hosts by data centre.
+    regions : dict of str to str
+        The region of each data centre.
+    """
+    near = [
+        name
+        for centre, names in hosts.items()
+        if regions.get(centre) == region
+        for name in names
+    ]
+    every = near or [name for names in hosts.values() for name in names]
+    return _rank.rendezvous(instance, every)[0]
+
+
 @dataclasses.dataclass
 class _Bucket:
     level: float
