--- a/bin/prove_needed.py
+++ b/bin/prove_needed.py
@@ -41,6 +41,66 @@
 
 
 CUTS = (
+    Cut(
+        'a store that comes back older',
+        'rows of before are kept',
+        'ebonypick/process/_table_rows.py',
+        'self._keep_what_differs(present, now + self._kept_s)',
+        'pass',
+        ('ebonypick/process/tests/test_table_rows.py',),
+    ),
+    Cut(
+        'a store that comes back older',
+        'the era goes before the number',
+        'ebonypick/platform/_store.py',
+        '_revision.Revision(era, found.ver)',
+        '_revision.Revision(0, found.ver)',
+        ('ebonypick/process/tests/test_tables.py',),
+    ),
+    Cut(
+        'a store that comes back older',
+        'what is kept is told on',
+        'ebonypick/process/_table_rows.py',
+        'self._adopt(item, row, now)',
+        'pass',
+        ('ebonypick/process/tests/test_table_rows.py',),
+    ),
+    Cut(
+        'a store that comes back older',
+        'each host writes its row again',
+        'ebonypick/process/_host_rows.py',
+        'if self._own_lost() and not self._rewriting:',
+        'if False:',
+        ('tests/test_restored_store.py', '-k', 'each_once'),
+    ),
+    Cut(
+        'a store that comes back older',
+        'a number of a configuration may be used again',
+        'ebonypick/process/_store_view.py',
+        'return era > self._config_era',
+        'return False',
+        ('tests/test_restored_store.py', '-k', 'stays_in_force'),
+    ),
+    Cut(
+        'busy homes',
+        'relief only where slots are taken',
+        'ebonypick/request/_relief.py',
+        'if load < WAITS_FROM:',
+        'if False:',
+        ('ebonypick/request/tests/test_relief.py',),
+    ),
+    Cut(
+        'shed in spite of room',
+        'callers return at once',
+        'ebonypick/request/_return_time.py',
+        'if on_hand < 1.0:',
+        'if False:',
+        (
+            'ebonypick/experiment/tests/test_objects.py',
+            '-k',
+            'spite_of_room',
+        ),
+    ),
     Cut(
         'shift cap',
         'credit starts at nothing',
