Stand an empty list of hosts, and reused numbers after a start in a drill

The sender to a cold server was taken from an empty ranking where no host serves callers (the last one stops): an IndexError in the choice, in place of a refusal. And a host that starts in a drill took over the configuration that others keep as of the new era, so another one with the same number never took its place there: the era is that of the value in use now.

--- a/ebonypick/process/_store_view.py
+++ b/ebonypick/process/_store_view.py
@@ -105,7 +105,7 @@
 
     def _era_of_config(self):
         follower = self.followers[platform.OPERATOR_TABLE]
-        revision = follower.found_revision('config')
+        revision = follower.used_revision('config')
         return self._config_era if revision is None else revision.era
 
     def _supersedes(self, cfg, era):
--- a/ebonypick/process/_table_rows.py
+++ b/ebonypick/process/_table_rows.py
@@ -152,6 +152,15 @@
         row = self._found.get(key)
         return None if row is None else row.revision
 
+    def used_revision(self, key):
+        """Return the revision of the value to use, None where there is none.
+
+        Of a row of before it is that of before, so a value that the store
+        has now is the later one whatever its number.
+        """
+        kept = self._kept.get(key)
+        return self.found_revision(key) if kept is None else kept.row.revision
+
     def keeps(self, key):
         """Return whether a row of before is used in place of the store's."""
         return key in self._kept
--- a/ebonypick/process/_tables.py
+++ b/ebonypick/process/_tables.py
@@ -98,6 +98,10 @@
         """Return the revision of the store's row, None where it has none."""
         return self._rows.found_revision(key)
 
+    def used_revision(self, key):
+        """Return the revision of the value to use, None without one."""
+        return self._rows.used_revision(key)
+
     def keeps(self, key):
         """Return whether a row of before is used in place of the store's."""
         return self._rows.keeps(key)
--- a/ebonypick/process/tests/test_table_rows.py
+++ b/ebonypick/process/tests/test_table_rows.py
@@ -149,6 +149,9 @@
     started.take_told(told, 11.0)
     assert started.values() == {'a': b'new', 'b': b'new'}
     assert started.kept_until == pytest.approx(13.0)
+    # Another value with the same number is the later one.
+    assert started.used_revision('a') == _at(95)
+    assert started.found_revision('a') == _at(50, era=1)
 
 
 def test_who_knew_more_before_the_restore_tells_who_knew_less():
--- a/ebonypick/request/_warmup.py
+++ b/ebonypick/request/_warmup.py
@@ -19,7 +19,7 @@
 
 
 def sender(instance, region, hosts, regions):
-    """Return the entry host that sends to a cold server.
+    """Return the entry host that sends to a cold server, None without any.
 
     Parameters
     ==========
@@ -37,7 +37,7 @@
         for name in names
     ]
     every = near or [name for names in hosts.values() for name in names]
-    return _rank.rendezvous(instance, every)[0]
+    return next(iter(_rank.rendezvous(instance, every)), None)
 
 
 @dataclasses.dataclass
--- a/ebonypick/request/tests/test_fleet.py
+++ b/ebonypick/request/tests/test_fleet.py
@@ -250,6 +250,14 @@
     assert _most_in_a_second(times) <= COLD_MOST
 
 
+def test_a_host_that_stops_as_the_last_one_sends_to_no_cold_server():
+    """It is among the hosts that serve no more; there may be no other."""
+    fleet = _fleet(entries=_entries(1, warmup_left_s=60.0), hosts={})
+    found = fleet.choose(_ask('k'), 0.0)
+    assert isinstance(found, request.Turned)
+    assert found.reason == 'cold'
+
+
 def test_hosts_with_different_views_stay_within_the_cold_allowance():
     views = {
         'h1': {'a1': ('h1',)},
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -260,6 +260,10 @@
         await world.ready(name)
         at = time.monotonic()
         await _until_status(world, session, name, 'lost', 200)
+        # Its number may be given to another that follows it.
+        world.store.put('op', 'config', _config_with(9, 'next'))
+        for host in world.processes:
+            await _until_status(world, session, host, 'next', 200)
         return time.monotonic() - at
 
     assert _scene(tmp_path, play, hosts=2) < DRAIN_S
