--- a/bench/steering.py
+++ b/bench/steering.py
@@ -9,6 +9,7 @@
 import tracemalloc
 
 from ebonypick import platform
+from ebonypick.process import _row_messages
 from ebonypick.process import _table_rows
 from ebonypick import request
 
@@ -88,7 +89,7 @@
     def change(number):
         before = found.revision
         revision = platform.Revision(0, count + 1 + number)
-        told = _table_rows.PeerRows(
+        told = _row_messages.PeerRows(
             't', before, revision, (('k0', revision, encoded),)
         )
         found.take_told(told, 0.0)
--- a/ebonypick/process/_tables.py
+++ b/ebonypick/process/_tables.py
@@ -14,6 +14,7 @@
 from ebonypick import errors
 from ebonypick import events
 from ebonypick import platform
+from ebonypick.process import _row_messages
 from ebonypick.process import _table_rows
 
 # Long waits cost few calls; shorter than what a silent connection may cost.
@@ -275,7 +276,7 @@
             if status != 200:
                 return
             self.take_told(
-                msgspec.json.decode(body, type=_table_rows.PeerRows)
+                msgspec.json.decode(body, type=_row_messages.PeerRows)
             )
         except (
             connection.ConnectFailedError,
--- a/ebonypick/process/_telling.py
+++ b/ebonypick/process/_telling.py
@@ -17,7 +17,7 @@
 from ebonypick import connection
 from ebonypick import events
 from ebonypick import platform
-from ebonypick.process import _table_rows
+from ebonypick.process import _row_messages
 from ebonypick import request
 
 # A change is told again with the next messages; no need to wait for long.
@@ -41,7 +41,7 @@
     """
 
     root: str
-    rows: _table_rows.PeerRows
+    rows: _row_messages.PeerRows
     names: tuple[str, ...] = ()
 
     @property
--- a/ebonypick/process/tests/test_table_rows.py
+++ b/ebonypick/process/tests/test_table_rows.py
@@ -7,6 +7,7 @@
 import pytest
 
 from ebonypick import platform
+from ebonypick.process import _row_messages
 from ebonypick.process import _table_rows
 
 TABLE = 'things'
@@ -92,7 +93,7 @@
 def test_nothing_is_taken_of_rows_that_cannot_be_read_in_part(value):
     rows = _knowing(5, ('k', b'good', 5))
     good = base64.b64encode(b'new').decode()
-    broken = _table_rows.PeerRows(
+    broken = _row_messages.PeerRows(
         TABLE,
         platform.NOTHING_KNOWN,
         _at(7),
@@ -169,7 +170,7 @@
     rows = _knowing(60, ('a', b'x', 40), era=1)
     assert rows.told(_at(90), 0.0).base == platform.NOTHING_KNOWN
     assert rows.told(_at(60, era=1), 0.0).base == _at(60, era=1)
-    odd = _table_rows.PeerRows(TABLE, _at(5), _at(61, era=1), ())
+    odd = _row_messages.PeerRows(TABLE, _at(5), _at(61, era=1), ())
     assert not _knowing(9, ('a', b'x', 4)).take_told(odd, 0.0)
 
 
--- a/ebonypick/process/tests/test_tables.py
+++ b/ebonypick/process/tests/test_tables.py
@@ -9,7 +9,7 @@
 
 from ebonypick import connection
 from ebonypick import platform
-from ebonypick.process import _table_rows
+from ebonypick.process import _row_messages
 from ebonypick.process import _tables
 from standins import store
 
@@ -167,7 +167,7 @@
 
     async def call_json(self, method, path):
         """Answer with the rows."""
-        told = _table_rows.PeerRows(
+        told = _row_messages.PeerRows(
             TABLE,
             platform.NOTHING_KNOWN,
             platform.Revision(0, 1_000),
--- a/ebonypick/process/tests/test_telling.py
+++ b/ebonypick/process/tests/test_telling.py
@@ -9,7 +9,7 @@
 
 from ebonypick import connection
 from ebonypick import platform
-from ebonypick.process import _table_rows
+from ebonypick.process import _row_messages
 from ebonypick.process import _tables
 from ebonypick.process import _telling
 from ebonypick import request
@@ -23,7 +23,7 @@
 def _rows():
     """Return a table of one row."""
     revision = platform.Revision(0, 7)
-    return _table_rows.PeerRows(
+    return _row_messages.PeerRows(
         TABLE, platform.NOTHING_KNOWN, revision, (('k', revision, ''),)
     )
 
