Serve one reader of numbers, one drill and one way to turn away

- The era's header was read by a copy of the reader of other headers' numbers: both use parse_whole of platform/_units.
- An attempt series kept the last server and the servers tried beside the attempts it made: both follow from those now.
- What a store lost was passed beside the copy that it came back from, and the drill itself stood three times in tests: LostRows and Store.drill of the stand-in.
The scenes' common end is one function.
- The play of objects scheduled a refusal in two places.

Checks: formatter, linter, generated pages; all tests and doctests beside the code; tests/test_restored_store.py, test_steering_host.py, test_soak.py; prove_needed for the era's cut.

--- a/bin/prove_needed.py
+++ b/bin/prove_needed.py
@@ -53,8 +53,8 @@
         'a store that comes back older',
         'the era goes before the number',
         'ebonypick/platform/_store.py',
-        '_revision.Revision(era, found.ver)',
-        '_revision.Revision(0, found.ver)',
+        '_revision.Revision(era, number)',
+        '_revision.Revision(0, number)',
         ('ebonypick/process/tests/test_tables.py',),
     ),
     Cut(
--- a/ebonypick/experiment/_objects.py
+++ b/ebonypick/experiment/_objects.py
@@ -273,15 +273,17 @@
         self._count_unwanted(now, server, attempt)
         refuses = self._trouble_is('held-off', now, server)
         if refuses or self._sheds(now, server):
-            back = now + self._delay_s(attempt.centre, attempt.server)
-            self._at(back, self._shed, attempt, tried, server.load())
+            self._turn_away(now, attempt, tried, server)
         elif server.running < self._site.slots:
             self._start(now, server, attempt)
         elif len(server.waiting) < self._site.queue:
             server.waiting.append(attempt)
         else:
-            back = now + self._delay_s(attempt.centre, attempt.server)
-            self._at(back, self._shed, attempt, tried, server.load())
+            self._turn_away(now, attempt, tried, server)
+
+    def _turn_away(self, now, attempt, tried, server):
+        back = now + self._delay_s(attempt.centre, attempt.server)
+        self._at(back, self._shed, attempt, tried, server.load())
 
     def _sheds(self, now, server):
         if not self._trouble_is('shedding', now, server):
--- a/ebonypick/platform/_headers.py
+++ b/ebonypick/platform/_headers.py
@@ -1,6 +1,7 @@
 """The headers of callers and backend servers."""
 
 from ebonypick import connection
+from ebonypick.platform import _units
 from ebonypick import request
 
 _REQUEST_ID = 'attempt-id'
@@ -24,20 +25,9 @@
 _REPLACED = frozenset({_DEADLINE_MS, _EXPECTED_INSTANCE, 'content-length'})
 
 
-# More digits than any time or count has.
-_DIGITS_MOST = 15
-
-
-def _whole(text):
-    """Return a whole number that is not negative, or None."""
-    if text.isdecimal() and len(text) <= _DIGITS_MOST:
-        return int(text)
-    return None
-
-
 def _milliseconds(text):
     """Return a time in seconds, or None where there is none to read."""
-    whole = _whole(text)
+    whole = _units.parse_whole(text)
     return None if whole is None else whole / 1000
 
 
@@ -101,7 +91,7 @@
 
 
 def _load(text):
-    counts = [_whole(part.strip()) for part in text.split(',')]
+    counts = [_units.parse_whole(part.strip()) for part in text.split(',')]
     if len(counts) != 3 or None in counts:
         return None
     return request.LoadReport(*counts)
--- a/ebonypick/platform/_store.py
+++ b/ebonypick/platform/_store.py
@@ -10,6 +10,7 @@
 from ebonypick import connection
 from ebonypick import events
 from ebonypick.platform import _revision
+from ebonypick.platform import _units
 
 OPERATOR_TABLE = 'op'
 SERVER_TABLE = 'servers'
@@ -21,8 +22,6 @@
 PAGE_ROWS = 500
 # In each answer: how often the store has come back from an older copy.
 _ERA = 'store-era'
-# More digits than any count of restores has.
-_ERA_DIGITS_MOST = 15
 
 
 @dataclasses.dataclass(frozen=True)
@@ -107,9 +106,9 @@
     return table, name
 
 
-def _state(era, found, rows):
+def _state(era, number, rows):
     return TableState(
-        _revision.Revision(era, found.ver),
+        _revision.Revision(era, number),
         tuple(_table_row(era, row) for row in rows),
     )
 
@@ -126,13 +125,6 @@
     return TableRow(row.key, value, revision)
 
 
-def _decode_era(text):
-    """Return the era that a header tells, or None where it tells none."""
-    if text.isdecimal() and len(text) <= _ERA_DIGITS_MOST:
-        return int(text)
-    return None
-
-
 @connection.platform_adapters.register('table')
 class TableStore(connection.PlatformClient):
     """The users' store.
@@ -171,14 +163,16 @@
         sent_in : int
             The era known as the call was sent.
         """
-        era = _decode_era(text)
+        era = _units.parse_whole(text)
         if era is not None and era >= self._era:
             self._era = era
             return era
         # A store that knows no eras sends no header; that is no fault.
         if text != self._odd_era and (text or self._era):
             self._odd_era = text
-            events.ERA_ODD.log(header=text[:_ERA_DIGITS_MOST], era=self._era)
+            events.ERA_ODD.log(
+                header=text[: _units.DIGITS_MOST], era=self._era
+            )
         if sent_in < self._era:
             raise self._error('the answer is older than the store of now')
         return self._era
@@ -225,7 +219,7 @@
         found, era = await self._get_rows(path)
         # Later pages may be newer; the feed from the first one's revision
         # brings what changed between them.
-        first = found
+        number = found.ver
         rows = list(found.rows)
         while found.hasMore:
             # The next key in byte order is this one and a zero byte.
@@ -234,7 +228,7 @@
             if page_era != era:
                 raise self._error('an older copy came between two pages')
             rows += found.rows
-        return _state(era, first, rows)
+        return _state(era, number, rows)
 
     async def watch(self, table, revision, wait_s):
         """Return what changed in a table after a revision, once it did.
@@ -261,7 +255,7 @@
         found, era = await self._get_rows(
             f'{path}&waitMs={round(wait_s * 1000)}', wait_s + FEED_EXTRA_S
         )
-        return _state(era, found, found.rows)
+        return _state(era, found.ver, found.rows)
 
     async def write(self, transaction):
         """Write rows; return whether the conditions held.
--- a/ebonypick/platform/_units.py
+++ b/ebonypick/platform/_units.py
@@ -1,8 +1,24 @@
-"""Spans of time as the platform writes them."""
+"""Spans of time and counts as the platform writes them."""
 
 from ebonypick import errors
 from ebonypick import spans
 
+# More digits than any time or count has.
+DIGITS_MOST = 15
+
+
+def parse_whole(text):
+    """Return a whole number that is not negative, or None.
+
+    Examples
+    ========
+    >>> parse_whole('12'), parse_whole('-1'), parse_whole('')
+    (12, None, None)
+    """
+    if text.isdecimal() and len(text) <= DIGITS_MOST:
+        return int(text)
+    return None
+
 
 def parse_span_s(text, field):
     """Return a span of time in seconds.
--- a/ebonypick/process/_attempt_series.py
+++ b/ebonypick/process/_attempt_series.py
@@ -27,8 +27,6 @@
         self._node = node
         self._job = job
         self._made = []
-        self._tried = set()
-        self._last_server = ''
         # Whether a server may have run the request.
         self._may_have_run = False
         # A server's failure, for the case that no attempt gives a better
@@ -89,7 +87,7 @@
             job.route.regions,
             job.route.priority,
             job.remaining_s(),
-            frozenset(self._tried),
+            frozenset(attempt.instance for attempt in self._made),
             job.route.kind is version.RequestKind.UPLOAD,
             job.route.objective_s,
         )
@@ -119,7 +117,7 @@
             service=self._job.service,
             reason=last.why,
             retry_after_s=self._node.fleet.return_s(
-                self._last_server, time.monotonic()
+                self._made[-1].instance, time.monotonic()
             ),
         )
 
@@ -127,8 +125,6 @@
         attempt = _server_attempt.ServerAttempt(
             self._node, self._job, choice, self.sent + 1
         )
-        self._last_server = choice.entry.instance
-        self._tried.add(self._last_server)
         self._made.append(attempt)
         ended = await attempt.run()
         if ended.outcome is not request.Outcome.NOT_RUN:
--- a/ebonypick/process/_server_attempt.py
+++ b/ebonypick/process/_server_attempt.py
@@ -117,6 +117,11 @@
         # The status that the caller was given, if it was this attempt's.
         self.status = 0
 
+    @property
+    def instance(self):
+        """The server that it goes to."""
+        return self._choice.entry.instance
+
     async def run(self):
         """Make the attempt; return how it ended."""
         fleet = self._node.fleet
--- a/ebonypick/process/_table_rows.py
+++ b/ebonypick/process/_table_rows.py
@@ -143,8 +143,8 @@
         present = {row.key: row for row in state.rows if row.value is not None}
         if self._restored(state.revision):
             self._keep_what_differs(present, now + self._kept_s)
-        for key in set(self._found) - set(present):
-            if lapsed_until is not None:
+        if lapsed_until is not None:
+            for key in set(self._found) - set(present):
                 self._keep(key, lapsed_until)
         self._forget_returned(present)
         self._found = present
@@ -277,7 +277,8 @@
         rows = tuple(
             (key, row.revision, _encode(row.value))
             for key, row in self._found.items()
-            if whole or row.revision > after
+            # All of them are of the era that is known.
+            if whole or row.revision.number > after.number
         )
         removed = tuple(
             (key, revision)
--- a/ebonypick/process/tests/test_tables.py
+++ b/ebonypick/process/tests/test_tables.py
@@ -15,6 +15,7 @@
 
 TABLE = 'things'
 TIMEOUT_S = 10.0
+AWAY_S = 0.3
 
 
 class _Scene:
@@ -33,6 +34,14 @@
         """Remove a row of the table."""
         self.store.remove(TABLE, key)
 
+    def change(self, *changes):
+        """Set rows, or remove those without a value."""
+        for key, value in changes:
+            if value is None:
+                self.remove(key)
+            else:
+                self.put(key, value)
+
     async def until(self, *keys):
         """Wait until the follower has exactly these rows."""
         end = time.monotonic() + TIMEOUT_S
@@ -204,23 +213,10 @@
 def _copy_after(scene, *changes):
     """Return a copy of the store, then make changes that it lacks."""
     copy = scene.store.copy()
-    for key, value in changes:
-        if value is None:
-            scene.remove(key)
-        else:
-            scene.put(key, value)
+    scene.change(*changes)
     return copy
 
 
-async def _drill(scene, copy, away_s=0.3):
-    """Let the store be away and come back from a copy."""
-    scene.store.faults.down = True
-    await asyncio.sleep(away_s)
-    lost = scene.store.restore(copy)
-    scene.store.faults.down = False
-    return lost
-
-
 async def _until_era(scene, era):
     end = time.monotonic() + TIMEOUT_S
     while scene.follower.revision.era < era:
@@ -240,13 +236,12 @@
             changes = ('a', b'new'), ('b', None), ('d', b'new')
             copy = _copy_after(scene, *changes)
             await scene.until('a', 'c', 'd')
-            await _drill(scene, copy, away_s)
+            await scene.store.drill(copy, away_s)
             await _until_era(scene, 1)
             scene.put('e', b'later')
             await scene.until('a', 'c', 'd', 'e')
             assert scene.follower.rows['a'] == b'new'
-            for key, value in changes:
-                scene.put(key, value) if value else scene.remove(key)
+            scene.change(*changes)
             await asyncio.sleep(1.5)
             assert scene.follower.rows == {
                 'a': b'new',
@@ -265,7 +260,7 @@
             await scene.until('a')
             copy = _copy_after(scene, ('a', b'new'), ('b', b'new'))
             await scene.until('a', 'b')
-            await _drill(scene, copy)
+            await scene.store.drill(copy, AWAY_S)
             await _until_era(scene, 1)
             assert scene.follower.rows == {'a': b'new', 'b': b'new'}
             await scene.until('a')
@@ -281,11 +276,11 @@
             await scene.until('a')
             first = _copy_after(scene, ('b', b'2'))
             await scene.until('a', 'b')
-            await _drill(scene, first)
+            await scene.store.drill(first, AWAY_S)
             await _until_era(scene, 1)
             scene.put('c', b'3')
             await scene.until('a', 'b', 'c')
-            await _drill(scene, first)
+            await scene.store.drill(first, AWAY_S)
             scene.put('b', b'4')
             await _until_era(scene, 2)
             assert set(scene.follower.rows) >= {'a', 'b'}
--- a/standins/store.py
+++ b/standins/store.py
@@ -86,6 +86,22 @@
     history: tuple
 
 
+@dataclasses.dataclass(frozen=True)
+class LostRows:
+    """What others wrote after a copy from which the store came back.
+
+    Parameters
+    ==========
+    since : int
+        The copy's count of changes.
+    rows : tuple of (str, str, bytes or None)
+        Table, key and value; None where a row was removed.
+    """
+
+    since: int
+    rows: tuple
+
+
 class Store:
     """The state, and the answers to calls; an async context manager.
 
@@ -187,38 +203,43 @@
 
         Returns
         =======
-        list of (str, str, bytes or None)
-            Table, key and value of rows that the operator or servers wrote
-            since, None where they removed one: to be written again.
+        LostRows
+            Of the operator and the servers: to be written again.
         """
-        lost = [
+        lost = tuple(
             (place[0], place[2], self._rows.get(place, (None, 0))[0])
             for place in sorted(set(self._rows) | set(copy.rows))
             if place[0] in READ_ONLY
             and self._rows.get(place) != copy.rows.get(place)
-        ]
+        )
         self._era += 1
         self._revision = copy.revision
         self._rows = dict(copy.rows)
         self._history = list(copy.history)
+        return LostRows(copy.revision, lost)
+
+    async def drill(self, copy, away_s):
+        """Be away for some seconds, then come back; as ``restore``."""
+        self.faults.down = True
+        await asyncio.sleep(away_s)
+        lost = self.restore(copy)
+        self.faults.down = False
         return lost
 
-    def write_again(self, lost, copy):
+    def write_again(self, lost):
         """Write rows again that were lost, as their writers do.
 
         Parameters
         ==========
-        lost : list of (str, str, bytes or None)
-            As ``restore`` returned them.
-        copy : StoreCopy
-            What it came back from; rows that changed since stay.
+        lost : LostRows
+            As ``restore`` returned them; rows that changed since stay.
         """
         changed = {
             place
             for revision, place, _ in self._history
-            if revision > copy.revision
+            if revision > lost.since
         }
-        for table, key, value in lost:
+        for table, key, value in lost.rows:
             if (table, '', key) in changed:
                 continue
             if value is None:
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -260,12 +260,9 @@
     copy = world.store.copy()
     await asyncio.sleep(for_s)
     with world.trouble('store'):
-        world.store.faults.down = True
-        await asyncio.sleep(rng.choice((0.1, 0.5, 2.0)))
-        lost = world.store.restore(copy)
-        world.store.faults.down = False
+        lost = await world.store.drill(copy, rng.choice((0.1, 0.5, 2.0)))
         await asyncio.sleep(rng.uniform(0.0, REWRITE_MOST_S))
-        world.store.write_again(lost, copy)
+        world.store.write_again(lost)
         await asyncio.sleep(REWRITTEN_S)
 
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -30,25 +30,18 @@
     return steering_world.run_scene(tmp_path, SEED, play, **more)
 
 
-@dataclasses.dataclass(frozen=True)
-class _Drill:
-    """What a drill took away."""
-
-    copy: object
-    lost: list
-
-    def write_again(self, world):
-        """Let the operator and the servers write it again."""
-        world.store.write_again(self.lost, self.copy)
+async def _restore(world, copy):
+    """Let the store be away and come back from a copy."""
+    return await world.store.drill(copy, AWAY_S)
 
 
-async def _restore(world, copy, away_s=AWAY_S):
-    """Let the store be away and come back from a copy."""
-    world.store.faults.down = True
-    await asyncio.sleep(away_s)
-    lost = world.store.restore(copy)
-    world.store.faults.down = False
-    return _Drill(copy, lost)
+async def _restore_and_write_again(world, copy):
+    """Do so; its writers write what it lost once all hosts know."""
+    lost = await _restore(world, copy)
+    await _until_restored(world, world.processes)
+    await asyncio.sleep(REWRITE_S)
+    world.store.write_again(lost)
+    await asyncio.sleep(1.5)
 
 
 async def _until(check, what):
@@ -122,11 +115,7 @@
         world.register(server)
         await asyncio.sleep(0.5)
         async with _readers(world, session):
-            drill = await _restore(world, copy)
-            await _until_restored(world, world.processes)
-            await asyncio.sleep(REWRITE_S)
-            drill.write_again(world)
-            await asyncio.sleep(1.5)
+            await _restore_and_write_again(world, copy)
         told_at = time.monotonic()
         return [a for a in server.arrivals if a.at > told_at - 4.5]
 
@@ -143,11 +132,7 @@
         await asyncio.sleep(0.5)
         began = time.monotonic()
         async with _readers(world, session):
-            drill = await _restore(world, copy)
-            await _until_restored(world, world.processes)
-            await asyncio.sleep(REWRITE_S)
-            drill.write_again(world)
-            await asyncio.sleep(1.5)
+            await _restore_and_write_again(world, copy)
         return [a for a in server.arrivals if a.at > began]
 
     assert _scene(tmp_path, play) == []
@@ -164,9 +149,9 @@
         for server in old:
             await server.crash()
         async with _readers(world, session):
-            drill = await _restore(world, copy)
+            lost = await _restore(world, copy)
             await asyncio.sleep(REWRITE_S)
-            drill.write_again(world)
+            world.store.write_again(lost)
             await asyncio.sleep(1.0)
         refused = [c for c in world.calls if c.status != 200]
         return refused, sum(len(server.arrivals) for server in new)
@@ -227,8 +212,8 @@
             second = await _restore(world, copy)
             await _until_restored(world, world.processes, era=2)
             await asyncio.sleep(REWRITE_S)
-            first.write_again(world)
-            second.write_again(world)
+            world.store.write_again(first)
+            world.store.write_again(second)
             await asyncio.sleep(0.5)
         late = [a for s in servers for a in s.arrivals if a.at > began]
         world.store.remove('op', 'evacuate/a-1')
@@ -336,9 +321,9 @@
         copy = world.store.copy()
         load = asyncio.ensure_future(world.load(4.0, 60))
         await asyncio.sleep(0.5)
-        drill = await _restore(world, copy)
+        lost = await _restore(world, copy)
         await asyncio.sleep(REWRITE_S)
-        drill.write_again(world)
+        world.store.write_again(lost)
         await load
         return steering_calls.violations(world)
 
