Log the limits that backend servers name in their answers

The logs of the incident could not tell a host that never read a limit from one that kept it alone: nothing decoded the header. Answers are decoded into a limit in requests a second now, and each host keeps what it knows of each start of a server. An answer to a request that was sent before the limit was known can only lower it, as answers arrive out of order; a value that is unreadable leaves the known limit. EP1315 logs each change with the request whose answer showed it, EP1316 an unreadable value. No decision uses the limit yet. The stand-in server can name one.

--- a/ebonypick/events.py
+++ b/ebonypick/events.py
@@ -279,6 +279,24 @@
     'req',
     'span_s',
 )
+BACKEND_LIMITS = define(
+    'EP1315',
+    'A backend server changed the rate of requests that it accepts from all '
+    'hosts together; without a limit, it accepts any rate.',
+    'backend',
+    'limit_per_s',
+    'before_per_s',
+    'source',
+    'req',
+)
+BACKEND_LIMIT_UNREADABLE = define(
+    'EP1316',
+    'A backend server named a limit that cannot be read; the known limit '
+    'stays in force.',
+    'backend',
+    'header',
+    'req',
+)
 EVACUATION_CHANGED = define(
     'EP1312',
     'The set of evacuated data centres changed.',
--- a/ebonypick/platform/_headers.py
+++ b/ebonypick/platform/_headers.py
@@ -1,5 +1,7 @@
 """Headers of requests from callers and of answers by backend servers."""
 
+import math
+
 from ebonypick import connection
 from ebonypick.platform import _units
 from ebonypick import request
@@ -19,6 +21,11 @@
 _HOLD_OFF_S = 'retry-after'
 # A longer time is treated as a fault of the server and ignored.
 _MAX_HOLD_OFF_S = 3_600.0
+# Unreadable values are logged up to this length.
+MAX_LOGGED_CHARS = 80
+# Requests per second that the server accepts from all hosts together, until
+# an answer without this header.
+_LIMIT_PER_S = 'server-limit'
 # Remaining warm-up time of the server, in milliseconds.
 _WARMUP_MS = 'warmup-ms'
 
@@ -109,6 +116,16 @@
     return seconds if 0.0 < seconds <= _MAX_HOLD_OFF_S else 0.0
 
 
+def _limit_per_s(text):
+    """Return a limit in requests per second, or None if unreadable."""
+    try:
+        limit_per_s = float(text)
+    except ValueError:
+        return None
+    valid = math.isfinite(limit_per_s) and limit_per_s >= 0.0
+    return limit_per_s if valid else None
+
+
 def answer_head(status, headers):
     """Return the fields of an answer that a backend server sends in headers.
 
@@ -123,6 +140,9 @@
     =======
     request.AnswerHead
     """
+    limit_text = headers.get(_LIMIT_PER_S)
+    limit_per_s = None if limit_text is None else _limit_per_s(limit_text)
+    unreadable = limit_text is not None and limit_per_s is None
     return request.AnswerHead(
         req=headers.get(_REQUEST_ID),
         not_run=_NOT_RUN in headers or status == 421,
@@ -132,6 +152,8 @@
         warmup_left_s=_parse_ms(headers.get(_WARMUP_MS, '')),
         leaving=headers.get(_LEAVING, '').strip() == '1',
         hold_off_s=_hold_off_s(status, headers.get(_HOLD_OFF_S, '')),
+        limit_per_s=limit_per_s,
+        unreadable_limit=limit_text[:MAX_LOGGED_CHARS] if unreadable else None,
     )
 
 
--- a/ebonypick/platform/tests/test_decoding.py
+++ b/ebonypick/platform/tests/test_decoding.py
@@ -195,3 +195,23 @@
     assert platform.answer_head(503, {'not-executed': '1'}).not_run
     assert platform.answer_head(421, {}).other_instance
     assert platform.answer_head(200, {'server-load': 'a,b'}).load is None
+
+
+@pytest.mark.parametrize(
+    ('text', 'limit_per_s'),
+    [('1.6', 1.6), ('0.25', 0.25), ('0', 0.0), ('20', 20.0)],
+)
+def test_the_limit_of_a_server_is_decoded(text, limit_per_s):
+    found = platform.answer_head(200, {'server-limit': text})
+    assert found == request.AnswerHead(None, limit_per_s=limit_per_s)
+    assert platform.answer_head(200, {}).limit_per_s is None
+
+
+@pytest.mark.parametrize('text', ['', 'few', 'NaN', '1e309', '-1', '1, 5'])
+def test_an_unreadable_limit_leaves_the_rest_of_an_answer_usable(text):
+    found = platform.answer_head(
+        200, {'server-limit': text, 'server-load': '3,1,8'}
+    )
+    assert found.limit_per_s is None
+    assert found.unreadable_limit == text
+    assert found.load == request.LoadReport(3, 1, 8)
--- a/ebonypick/process/_server_attempt.py
+++ b/ebonypick/process/_server_attempt.py
@@ -208,12 +208,24 @@
 
     def _apply_answer(self, entry, head, failed):
         """Update the state of the server from the headers of its answer."""
-        leaves = self._node.fleet.answered(
+        news = self._node.fleet.answered(
             self._ticket, head, failed, time.monotonic()
         )
         req = self._job.head.req
-        if leaves:
+        if news.leaves:
             self._node.store_view.note_server_leaving(entry, req)
+        if news.limit is not None:
+            events.BACKEND_LIMITS.log(
+                backend=entry.instance,
+                limit_per_s=news.limit.per_s,
+                before_per_s=news.limit.before_per_s,
+                source='an answer',
+                req=req,
+            )
+        if head.unreadable_limit is not None:
+            events.BACKEND_LIMIT_UNREADABLE.log(
+                backend=entry.instance, header=head.unreadable_limit, req=req
+            )
         if head.hold_off_s:
             events.BACKEND_HOLDS_OFF.log(
                 backend=entry.instance, req=req, span_s=head.hold_off_s
--- a/ebonypick/request/_choice.py
+++ b/ebonypick/request/_choice.py
@@ -95,6 +95,8 @@
         Expected time of the answer as a multiple of the usual time.
     started_ms : int
         Start time of the server, in milliseconds since the epoch.
+    limit_turn : int
+        Turn of the limit of the server that was known at that time.
     """
 
     number: int
@@ -104,3 +106,34 @@
     warm: bool
     load_factor: float
     started_ms: int = 0
+    limit_turn: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class LimitChange:
+    """A change of the limit that a server names.
+
+    Parameters
+    ==========
+    before_per_s, per_s : float or None
+        Requests per second from all hosts; None without a limit.
+    """
+
+    before_per_s: float | None
+    per_s: float | None
+
+
+@dataclasses.dataclass(frozen=True)
+class AnswerNews:
+    """What an answer says of its server that this host did not know.
+
+    Parameters
+    ==========
+    leaves : bool
+        Whether this is the first notice that the server is leaving.
+    limit : LimitChange or None
+        The change of its limit; None where the limit is as known.
+    """
+
+    leaves: bool = False
+    limit: LimitChange | None = None
--- a/ebonypick/request/_fleet.py
+++ b/ebonypick/request/_fleet.py
@@ -20,6 +20,7 @@
 from ebonypick.request import _rank
 from ebonypick.request import _relief
 from ebonypick.request import _retry_after
+from ebonypick.request import _server_limits
 from ebonypick.request import _server_state
 from ebonypick.request import _service_times
 from ebonypick.request import _warmup
@@ -76,6 +77,7 @@
         self._warmup_per_s = {}
         self._warmup_gate = _warmup.WarmupGate()
         self._departures = _departure.Departures()
+        self._limits = _server_limits.ServerLimits()
         self._service_times = _service_times.ServiceTimes()
         self._ticket_numbers = itertools.count()
         self._weights = {}
@@ -111,6 +113,7 @@
             servers[entry.instance] = known
         self._servers = servers
         self._warmup_gate.retain(servers)
+        self._limits.retain(server.entry for server in servers.values())
         self._clear_caches()
 
     def set_regions(self, regions):
@@ -293,6 +296,7 @@
         known = server is not None
         warm = known and server.health.has_cached(object_key, now)
         load_factor = max(1.0, server.load_per_slot(now)) if known else 1.0
+        started_ms = server.entry.started_ms if known else 0
         ticket = _choice.Ticket(
             next(self._ticket_numbers),
             instance,
@@ -300,7 +304,8 @@
             now,
             warm,
             load_factor,
-            server.entry.started_ms if known else 0,
+            started_ms,
+            self._limits.get(instance, started_ms).turn,
         )
         if known:
             server.tickets[ticket.number] = ticket
@@ -330,17 +335,31 @@
 
         Returns
         =======
-        bool
-            Whether this is the first notice that the server is leaving.
+        AnswerNews
         """
         server = self._servers.get(ticket.instance)
         leaves = head.leaving and not head.other_instance
         news = leaves and self.leaves(ticket.instance, ticket.started_ms)
         if server is None or server.entry.started_ms != ticket.started_ms:
             # An answer of an earlier start says nothing about this one.
-            return news
+            return _choice.AnswerNews(news)
         self._update_server(server, ticket, head, failed, now)
-        return news
+        return _choice.AnswerNews(news, self._note_limit(ticket, head))
+
+    def _note_limit(self, ticket, head):
+        """Return the change of a server's limit that an answer shows."""
+        if head.other_instance or head.unreadable_limit is not None:
+            return None
+        before = self._limits.get(ticket.instance, ticket.started_ms)
+        after = self._limits.note_answer(
+            ticket.instance,
+            ticket.started_ms,
+            ticket.limit_turn,
+            head.limit_per_s,
+        )
+        if after is None:
+            return None
+        return _choice.LimitChange(before.per_s, after.per_s)
 
     def _update_server(self, server, ticket, head, failed, now):
         """Update the state of the current start of a server."""
--- a/ebonypick/request/_server.py
+++ b/ebonypick/request/_server.py
@@ -105,6 +105,12 @@
         Whether the server announces that it is leaving.
     hold_off_s : float
         Time in seconds for which the server wants no requests from this host.
+    limit_per_s : float or None
+        Requests per second that the server accepts from all hosts together;
+        None if it names no limit.
+    unreadable_limit : str or None
+        The text of a limit that cannot be read, which says nothing about the
+        limit in force.
     """
 
     req: str | None
@@ -115,3 +121,5 @@
     warmup_left_s: float | None = None
     leaving: bool = False
     hold_off_s: float = 0.0
+    limit_per_s: float | None = None
+    unreadable_limit: str | None = None
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -71,6 +71,9 @@
         self.warmup_left_s = 0.0
         # Whether each answer carries the ``Server-Leaving`` header.
         self.says_leaving = False
+        # Requests per second that each answer names as the limit of all
+        # hosts together; None names no limit.
+        self.limit_per_s = None
         # Length of a hold-off, sent as Retry-After, and its end (monotonic).
         self.hold_off_s = 0.0
         self.held_off_until = 0.0
@@ -344,6 +347,8 @@
             rows.append('Not-Executed: 1')
         if self.says_leaving:
             rows.append('Server-Leaving: 1')
+        if self.limit_per_s is not None:
+            rows.append(f'Server-Limit: {self.limit_per_s}')
         if status == 503 and self.hold_off_s:
             left_s = max(0.0, self.held_off_until - time.monotonic())
             rows.append(f'Retry-After: {left_s or self.hold_off_s:.2f}')
