--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -12,6 +12,7 @@
 import itertools
 import time
 
+from standins import limits
 from standins import server_records
 
 _instance_numbers = itertools.count(1)
@@ -71,9 +72,8 @@
         self.warmup_left_s = 0.0
         # Whether each answer carries the ``Server-Leaving`` header.
         self.says_leaving = False
-        # Requests per second that each answer names as the limit of all
-        # hosts together; None names no limit.
-        self.limit_per_s = None
+        # The limits that answers named, the last one being in force.
+        self.named_limits = []
         # Length of a hold-off, sent as Retry-After, and its end (monotonic).
         self.hold_off_s = 0.0
         self.held_off_until = 0.0
@@ -129,6 +129,19 @@
         self._objects.clear()
         await self.__aenter__()
 
+    def name_limit(self, per_s):
+        """Name a limit of requests per second from now on; None ends it."""
+        self.named_limits.append(
+            limits.NamedLimit(self.instance, time.monotonic(), per_s)
+        )
+
+    def _limit_per_s(self):
+        """Return the limit that this start of the server names."""
+        if not self.named_limits:
+            return None
+        last = self.named_limits[-1]
+        return last.per_s if last.at >= self._started_at else None
+
     def entry(self):
         """Return the next registration for the store.
 
@@ -347,8 +360,9 @@
             rows.append('Not-Executed: 1')
         if self.says_leaving:
             rows.append('Server-Leaving: 1')
-        if self.limit_per_s is not None:
-            rows.append(f'Server-Limit: {self.limit_per_s}')
+        limit_per_s = self._limit_per_s()
+        if limit_per_s is not None:
+            rows.append(f'Server-Limit: {limit_per_s}')
         if status == 503 and self.hold_off_s:
             left_s = max(0.0, self.held_off_until - time.monotonic())
             rows.append(f'Retry-After: {left_s or self.hold_off_s:.2f}')
--- /dev/null
+++ b/tests/test_server_limits.py
@@ -0,0 +1,56 @@
+"""Scenes of servers that name a limit of requests for all hosts together."""
+
+import asyncio
+import time
+
+from standins import limits
+from tests import steering_calls
+from tests import steering_world
+
+SEED = 61
+# Requests per second of all callers, far more than the limited servers take.
+LOAD_PER_S = 40
+LIMIT_PER_S = 1.0
+
+
+def limit_breaches(world):
+    """Return a sentence for each breach of a limit that a server named."""
+    names = {world.address(name): name for name in world.names()}
+    found = []
+    for server in world.upstreams:
+        arrivals = [
+            (a.at, names.get(a.source, a.source))
+            for a in server.arrivals
+            if a.instance == server.instance
+        ]
+        told = {}
+        for call in sorted(world.calls, key=lambda c: c.ended_at):
+            if 'server-limit' in call.headers:
+                if call.headers.get('server-seal') == server.instance:
+                    told.setdefault(call.host, call.ended_at)
+        found += limits.breaches(server.named_limits, arrivals, told)
+    return found
+
+
+def test_hosts_together_respect_the_limit_that_a_server_names(tmp_path):
+    async def play(world, session):
+        load = asyncio.create_task(world.load(12.0, LOAD_PER_S))
+        await asyncio.sleep(1.0)
+        limited = world.of('registry')[::2]
+        for server in limited:
+            server.name_limit(LIMIT_PER_S)
+        named_at = time.monotonic()
+        await load
+        heard = [c for c in world.calls if 'server-limit' in c.headers]
+        assert heard
+        late = [call for call in world.calls if call.sent_at > named_at + 4.0]
+        served = sum(call.status == 200 for call in late) / len(late)
+        return limit_breaches(world), served, steering_calls.violations(world)
+
+    breaches, served, broken = steering_world.run_scene(
+        tmp_path, SEED, play, hosts=2, servers=3
+    )
+    assert breaches == []
+    # The servers without a limit have room for all callers.
+    assert served == 1.0
+    assert broken == []
