Keep the limits that backend servers name, over all hosts together

What callers saw: nothing; servers in need got up to twice the requests that they had named as their limit.

Cause: no host read the limit. Had each kept it alone, their sum would not have held: N buckets of L / N admit N + 4 L requests in 4 s, 33 for 11 allowed with 29 hosts at L = 1.

Change: hosts merge what they know of each server's limit in their gossip (a turn that rises with each change that an answer shows), so those that send nothing there hear of a limit and of its end. Each host takes its even share where that leaves room for a request of every host in a window, else a few hosts send, within half of the bound, since two groups with other views may both send. Cold and limited servers are admitted in one place, before relief, spill and slow servers, for every attempt; a request whose server named a limit while its connection was made is not sent. Requests for cached objects use the share first; what it does not carry goes to the next server of the object at once, and is refused with the time of the next request where none may take it.

--- a/ebonypick/events.py
+++ b/ebonypick/events.py
@@ -127,6 +127,8 @@
     'why',
     'on_hand',
     'report_age_s',
+    'limit_per_s',
+    'passed_limited',
     'config',
 )
 ATTEMPT_ENDED = define(
@@ -286,6 +288,7 @@
     'backend',
     'limit_per_s',
     'before_per_s',
+    'sends',
     'source',
     'req',
 )
--- a/ebonypick/experiment/_object_policies.py
+++ b/ebonypick/experiment/_object_policies.py
@@ -6,6 +6,8 @@
 from ebonypick import request
 
 policies = registry.Registry('object policy')
+# Retry-After of the baselines, in seconds.
+RETRY_AFTER_S = 0.4
 
 
 @policies.register('objects')
@@ -19,12 +21,12 @@
 
     candidates = 1_000
 
-    def _ranking(self, ask):
+    def _ranking(self, ask, open_only=False):
         names = list(self._weights_of(ask.service, ask.regions))
         self._rng.shuffle(names)
         return names
 
-    def _pick(self, ask, usable, cold, now):
+    def _pick(self, ask, usable, now):
         ask = dataclasses.replace(ask, priority=0)
         usable = sorted(
             usable[: self.candidates], key=lambda s: s.load_per_slot(now)
@@ -32,7 +34,7 @@
         for server in usable:
             if server.load_per_slot(now) < 4.0:
                 return self._chosen(server, 'least-loaded', now)
-        return super()._pick(ask, [], cold, now)
+        return request.Rejected('full', RETRY_AFTER_S)
 
 
 @policies.register('least-loaded')
@@ -54,16 +56,16 @@
 
     max_near = 3
 
-    def _pick(self, ask, usable, cold, now):
+    def _pick(self, ask, usable, now):
         here = self._regions[self._data_centre]
         near = [
             server
             for server in usable
             if server.region == here and server.load_per_slot(now) < 1.0
         ]
-        return super()._pick(ask, near or usable, cold, now)
+        return super()._pick(ask, near or usable, now)
 
-    def _ranking(self, ask):
+    def _ranking(self, ask, open_only=False):
         here = self._regions[self._data_centre]
         names = super()._ranking(ask)
         near = [n for n in names if self._servers[n].region == here]
--- a/ebonypick/experiment/_object_simulation.py
+++ b/ebonypick/experiment/_object_simulation.py
@@ -267,6 +267,7 @@
     def _head(self, now, attempt, load, not_run=False):
         """Return the head of an answer; record its first fault report."""
         server = self._servers[attempt.server]
+        limited = self._trouble_is('limited', now, server)
         leaving = self._trouble_is('leaving', now, server)
         held_off = not_run and self._trouble_is('held-off', now, server)
         if leaving or held_off:
@@ -278,6 +279,7 @@
             load=load,
             leaving=leaving,
             hold_off_s=self._trouble.until - now if held_off else 0.0,
+            limit_per_s=self._trouble.limit_per_s if limited else None,
         )
 
     def _receive_at_server(self, now, attempt, tried):
@@ -285,6 +287,8 @@
             return
         server = self._servers[attempt.server]
         self._count_unwanted(now, server, attempt)
+        limited = self._trouble_is('limited', now, server)
+        self.counts['at limited'] += limited
         refuses = self._trouble_is('held-off', now, server)
         if refuses or self._sheds(now, server):
             self._reject(now, attempt, tried, server)
--- a/ebonypick/experiment/_object_sites.py
+++ b/ebonypick/experiment/_object_sites.py
@@ -96,9 +96,12 @@
         ``slow``: the servers only take longer. ``leaving``: their answers
         announce that they leave. ``held-off``: they reject all requests and
         ask for none until the end. ``shedding``: they reject a part of the
-        requests although slots are free.
+        requests although slots are free. ``limited``: they name a limit of
+        requests per second, and serve what they get.
     shed_part : float
         Share of the requests that a shedding server rejects.
+    limit_per_s : float
+        Limit that a limited server names, for all hosts together.
     """
 
     at: float
@@ -107,6 +110,7 @@
     slow: float = 1.0
     mode: str = 'slow'
     shed_part: float = 0.0
+    limit_per_s: float = 0.0
 
 
 SITES = {
--- a/ebonypick/experiment/tests/test_objects.py
+++ b/ebonypick/experiment/tests/test_objects.py
@@ -9,6 +9,7 @@
 from ebonypick.experiment import _object_simulation
 from ebonypick.experiment import _object_sites
 from ebonypick import request
+from ebonypick.request import _admission
 from ebonypick.request import _health
 from ebonypick.request import _nearness
 from ebonypick.request import _relief
@@ -219,3 +220,38 @@
     assert found['failed'] + found['refused'] <= (
         later['failed'] + later['refused'] + 0.01
     )
+
+
+def _simulate_limits(part, limit_per_s):
+    """Return the mean figures of runs in which servers name a limit."""
+    trouble = _object_sites.Trouble(
+        8.0, 24.0, part, mode='limited', limit_per_s=limit_per_s
+    )
+    found = [
+        _object_simulation.play(
+            'latency', 'objects', 67, SECONDS, seed, trouble
+        )
+        for seed in SEEDS
+    ]
+    return {
+        name: sum(row[name] for row in found) / len(found) for name in found[0]
+    }
+
+
+@pytest.mark.parametrize('limit_per_s', [0.7, 1.5, 4.0])
+def test_other_servers_take_what_limited_servers_do_not(limit_per_s):
+    """Half of the servers name a limit far below what they get."""
+    found = _simulate_limits(0.5, limit_per_s)
+    assert found['refused'] + found['failed'] <= 0.01
+
+
+@pytest.mark.parametrize('limit_per_s', [1.5, 4.0])
+def test_cached_objects_get_the_requests_of_limited_servers(
+    monkeypatch, limit_per_s
+):
+    """All servers name a limit, which leaves few requests to each."""
+    found = _simulate_limits(1.0, limit_per_s)
+    monkeypatch.setattr(_admission.Admission, 'prefers', lambda *args: True)
+    any_object = _simulate_limits(1.0, limit_per_s)
+    assert found['worth'] > any_object['worth']
+    assert found['cold'] < any_object['cold']
--- a/ebonypick/process/_attempt_series.py
+++ b/ebonypick/process/_attempt_series.py
@@ -65,6 +65,10 @@
         last = None
         while True:
             choice = self._node.fleet.choose(self._ask(), time.monotonic())
+            if choice.passed_limited:
+                self._node.metrics.passed_limited.labels(
+                    self._job.service
+                ).inc()
             if isinstance(choice, request.Rejected):
                 raise self._rejected_error(choice)
             if (
--- a/ebonypick/process/_entry_host.py
+++ b/ebonypick/process/_entry_host.py
@@ -233,6 +233,13 @@
     def receive_revisions(self, revisions, source):
         """Ignore the table revisions of peers, which are not used here."""
 
+    def limits_to_send(self):
+        """Return no limits: backend servers of this interface name none."""
+        return ()
+
+    def receive_limits(self, limits, source):
+        """Ignore the limits of peers, which are not used here."""
+
     def own_loads(self):
         """Return the loads of this host's slots, by service."""
         return self.layouts.own_loads()
--- a/ebonypick/process/_gossip.py
+++ b/ebonypick/process/_gossip.py
@@ -78,7 +78,10 @@
             time.monotonic(),
             self._node.table_revisions(),
         )
-        return msgspec.json.encode(message)
+        limits = self._node.limits_to_send()
+        return msgspec.json.encode(
+            msgspec.structs.replace(message, limits=limits)
+        )
 
     def _apply(self, message, source):
         self._membership.receive(message, time.monotonic())
@@ -87,6 +90,7 @@
         self._node.receive_version(message.version, source)
         self._node.receive_revisions(message.revisions, source)
         self._node.receive_platform_time(message.platform_s)
+        self._node.receive_limits(message.limits, source)
         self._publish()
 
     def _publish(self):
--- a/ebonypick/process/_gossip_messages.py
+++ b/ebonypick/process/_gossip_messages.py
@@ -3,6 +3,8 @@
 They are encoded as arrays in the order of their fields.
 """
 
+import typing
+
 import msgspec
 
 from ebonypick import platform
@@ -68,6 +70,27 @@
         return (self.incarnation, self.beat)
 
 
+class LimitRecord(msgspec.Struct, frozen=True, array_like=True):
+    """The limit of requests that a backend server named in an answer.
+
+    Parameters
+    ==========
+    instance : str
+        The server.
+    started_ms : int
+        Its start in milliseconds since the epoch.
+    turn : int
+        Number of changes of the limit that hosts have seen.
+    per_s : float or None
+        Requests per second from all hosts; None where it was withdrawn.
+    """
+
+    instance: str
+    started_ms: int
+    turn: typing.Annotated[int, msgspec.Meta(ge=0)]
+    per_s: typing.Annotated[float, msgspec.Meta(ge=0.0)] | None
+
+
 class Message(msgspec.Struct, frozen=True, array_like=True):
     """A gossip message from one entry host to another.
 
@@ -87,6 +110,8 @@
     revisions : dict of str to Revision
         Revision of the sender's replica of each table of the platform's
         store.
+    limits : tuple of LimitRecord
+        Some of the limits of backend servers that the sender knows.
     """
 
     sender: str
@@ -96,3 +121,4 @@
     hosts: tuple[HostRecord, ...]
     centres: tuple[CentreRecord, ...]
     revisions: dict[str, platform.Revision] = {}
+    limits: tuple[LimitRecord, ...] = ()
--- a/ebonypick/process/_metrics.py
+++ b/ebonypick/process/_metrics.py
@@ -33,6 +33,17 @@
             ['service', 'result'],
             registry=self.registry,
         )
+        self.limited_backends = prometheus_client.Gauge(
+            'ebonypick_limited_backends',
+            'Backend servers that name a limit of requests.',
+            registry=self.registry,
+        )
+        self.passed_limited = prometheus_client.Counter(
+            'ebonypick_passed_limited',
+            'Choices that passed over a server because of its limit.',
+            ['service'],
+            registry=self.registry,
+        )
         self.hedges = prometheus_client.Counter(
             'ebonypick_hedges',
             'Reads that were sent a second time.',
--- a/ebonypick/process/_server_attempt.py
+++ b/ebonypick/process/_server_attempt.py
@@ -161,6 +161,8 @@
             why=self._choice.why,
             on_hand=round(self._choice.on_hand, 2),
             report_age_s=self._choice.report_age_s,
+            limit_per_s=self._choice.limit_per_s,
+            passed_limited=self._choice.passed_limited,
             config=self._job.cfg.number,
         )
 
@@ -182,9 +184,7 @@
 
     async def _exchange(self, entry):
         async with self._node.pool(entry).connection() as conn:
-            if self._node.fleet.holds_off(entry.instance, time.monotonic()):
-                # The server asked to be held off while the connection was
-                # being made.
+            if self._node.fleet.withholds(self._ticket, time.monotonic()):
                 return AttemptResult(
                     request.Outcome.NOT_RUN, 'held off', may_have_arrived=False
                 )
@@ -215,13 +215,7 @@
         if news.leaves:
             self._node.store_view.note_server_leaving(entry, req)
         if news.limit is not None:
-            events.BACKEND_LIMITS.log(
-                backend=entry.instance,
-                limit_per_s=news.limit.per_s,
-                before_per_s=news.limit.before_per_s,
-                source='an answer',
-                req=req,
-            )
+            self._node.note_limit(entry.instance, news.limit, 'an answer', req)
         if head.unreadable_limit is not None:
             events.BACKEND_LIMIT_UNREADABLE.log(
                 backend=entry.instance, header=head.unreadable_limit, req=req
--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -12,6 +12,7 @@
 from ebonypick.process import _board
 from ebonypick.process import _forward
 from ebonypick.process import _gossip
+from ebonypick.process import _gossip_messages
 from ebonypick.process import _membership
 from ebonypick.process import _metrics
 from ebonypick.process import _peer_directory
@@ -34,6 +35,8 @@
 # cut off.
 GRACE_MARGIN_S = 0.4
 STOP_POLL_S = 0.02
+# Limits of servers in one gossip message, some 40 bytes each.
+MAX_LIMIT_RECORDS = 12
 
 
 class SteeringHost:
@@ -153,7 +156,9 @@
             if self.board.hosts is not self.connections.rows:
                 await self.connections.update(self.board.hosts)
                 self.gossip.configure(self.connections.centres())
-            self.fleet.set_hosts(self.roster.serving())
+            self.fleet.set_hosts(
+                self.roster.serving(), len(self.connections.rows)
+            )
             await changed
 
     # Methods that gossip calls.
@@ -185,8 +190,53 @@
     def receive_platform_time(self, platform_s):
         """Ignore the platform time of peers, which is not used here."""
 
+    def limits_to_send(self):
+        """Return the limits of servers for a message to another host."""
+        return tuple(
+            _gossip_messages.LimitRecord(
+                name, limit.started_ms, limit.turn, limit.per_s
+            )
+            for name, limit in self.fleet.limits_to_send(MAX_LIMIT_RECORDS)
+        )
+
+    def receive_limits(self, limits, source):
+        """Apply what another host knows of the limits of servers."""
+        for record in limits:
+            change = self.fleet.receive_limit(
+                record.instance,
+                request.ServerLimit(
+                    record.started_ms, record.turn, record.per_s
+                ),
+            )
+            if change is not None:
+                self.note_limit(record.instance, change, source)
+
     # Methods that requests call.
 
+    def note_limit(self, instance, change, source, req=None):
+        """Log a changed limit of a server and count the limited servers.
+
+        Parameters
+        ==========
+        instance : str
+            The server.
+        change : request.LimitChange
+            The limit before and now.
+        source : str
+            The host that reported it, or ``an answer``.
+        req : str, optional
+            The request whose answer showed it.
+        """
+        events.BACKEND_LIMITS.log(
+            backend=instance,
+            limit_per_s=change.per_s,
+            before_per_s=change.before_per_s,
+            sends=self.fleet.sends_to(instance),
+            source=source,
+            req=req,
+        )
+        self.metrics.limited_backends.set(self.fleet.limited_count)
+
     def choose_service(self, route):
         """Choose the service of the next request by the route's weights."""
         turns = self._service_turns.get(route.name)
--- a/ebonypick/process/tests/test_malformed_messages.py
+++ b/ebonypick/process/tests/test_malformed_messages.py
@@ -52,6 +52,8 @@
         receive_version=lambda *_: None,
         receive_revisions=lambda *_: None,
         receive_platform_time=lambda *_: None,
+        receive_limits=lambda *_: None,
+        limits_to_send=tuple,
     )
     membership = _membership.Membership('h', 'dc', 1, random.Random(1))
     return _gossip.GossipTask(node, membership).receive(data)
--- a/ebonypick/request/__init__.py
+++ b/ebonypick/request/__init__.py
@@ -49,10 +49,10 @@
 from ebonypick.request._server import CallerHead
 from ebonypick.request._server import LoadReport
 from ebonypick.request._server import ServerEntry
+from ebonypick.request._server_limits import ServerLimit
 from ebonypick.request._serving import serving_hosts
 from ebonypick.request._verdict import judge
 from ebonypick.request._verdict import Verdict
-from ebonypick.request._warmup import WarmupGate
 
 __all__ = (
     'AnswerHead',
@@ -90,13 +90,13 @@
     'RetryBudget',
     'Running',
     'ServerEntry',
+    'ServerLimit',
     'ShiftCredit',
     'SlotOwner',
     'Target',
     'Ticket',
     'Rejected',
     'Verdict',
-    'WarmupGate',
     'WeightedRoundRobin',
     'expected_s',
     'judge',
--- a/ebonypick/request/_choice.py
+++ b/ebonypick/request/_choice.py
@@ -51,12 +51,18 @@
         Outstanding requests per slot of the server.
     report_age_s : float or None
         Age of the server's load report that was used, in seconds.
+    limit_per_s : float or None
+        The limit that the server named; None without one.
+    passed_limited : bool
+        Whether a server with a limit would have ranked before this one.
     """
 
     entry: object
     why: str
     on_hand: float
     report_age_s: float | None
+    limit_per_s: float | None = None
+    passed_limited: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -66,13 +72,17 @@
     Parameters
     ==========
     reason : str
-        ``no-server``, ``full``, ``cold``, ``late`` or ``held-off``.
+        ``no-server``, ``full``, ``cold``, ``late``, ``held-off`` or
+        ``limited``.
     retry_after_s : float
         Seconds until a free slot is expected.
+    passed_limited : bool
+        Whether a server was passed over because of its limit.
     """
 
     reason: str
     retry_after_s: float
+    passed_limited: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -97,6 +107,8 @@
         Start time of the server, in milliseconds since the epoch.
     limit_turn : int
         Turn of the limit of the server that was known at that time.
+    paced : bool
+        Whether the server had a limit at that time, which was respected.
     """
 
     number: int
@@ -107,6 +119,7 @@
     load_factor: float
     started_ms: int = 0
     limit_turn: int = 0
+    paced: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -137,3 +150,26 @@
 
     leaves: bool = False
     limit: LimitChange | None = None
+
+
+@dataclasses.dataclass
+class Candidates:
+    """The servers for a request, and why others are left out.
+
+    Parameters
+    ==========
+    usable : list of ServerState
+        The servers that may get the request, best first.
+    held_off : list of float
+        Seconds until servers that asked for no requests may get some.
+    limited : list of float
+        Seconds until servers with a limit may get a request of this host;
+        infinite where only other hosts send.
+    cold : bool
+        Whether there is a cold server to which only another host sends.
+    """
+
+    usable: list = dataclasses.field(default_factory=list)
+    held_off: list = dataclasses.field(default_factory=list)
+    limited: list = dataclasses.field(default_factory=list)
+    cold: bool = False
--- a/ebonypick/request/_fleet.py
+++ b/ebonypick/request/_fleet.py
@@ -14,16 +14,15 @@
 import itertools
 import random
 
+from ebonypick.request import _admission
 from ebonypick.request import _choice
 from ebonypick.request import _departure
 from ebonypick.request import _nearness
 from ebonypick.request import _rank
 from ebonypick.request import _relief
 from ebonypick.request import _retry_after
-from ebonypick.request import _server_limits
 from ebonypick.request import _server_state
 from ebonypick.request import _service_times
-from ebonypick.request import _warmup
 
 # Outstanding requests per slot below which the home server of an object
 # accepts a request, by the priority of the request. The wait is about as long
@@ -67,21 +66,19 @@
     """
 
     def __init__(self, host, data_centre, regions, rng=None):
-        self._host = host
         self._data_centre = data_centre
         self._regions = dict(regions)
         self._rng = rng or random.Random(0)
         self._servers = {}
         self._evacuated = frozenset()
-        self._hosts = {data_centre: (host,)}
-        self._warmup_per_s = {}
-        self._warmup_gate = _warmup.WarmupGate()
+        self._admission = _admission.Admission(host, data_centre, regions)
         self._departures = _departure.Departures()
-        self._limits = _server_limits.ServerLimits()
         self._service_times = _service_times.ServiceTimes()
         self._ticket_numbers = itertools.count()
         self._weights = {}
         self._rankings = {}
+        # Rankings without the servers to which only other hosts send.
+        self._open_rankings = {}
 
     # Updates of configuration and membership.
 
@@ -112,13 +109,13 @@
                 known.entry = entry
             servers[entry.instance] = known
         self._servers = servers
-        self._warmup_gate.retain(servers)
-        self._limits.retain(server.entry for server in servers.values())
+        self._admission.retain([s.entry for s in servers.values()])
         self._clear_caches()
 
     def set_regions(self, regions):
         """Set the region of each data centre."""
         self._regions = dict(regions)
+        self._admission.set_regions(regions)
         self._clear_caches()
 
     def set_evacuated(self, data_centres):
@@ -126,19 +123,27 @@
         self._evacuated = frozenset(data_centres)
         self._clear_caches()
 
-    def set_hosts(self, hosts):
-        """Set the live entry hosts by data centre, including this one."""
-        self._hosts = dict(hosts)
+    def set_hosts(self, hosts, count=0):
+        """Set the entry hosts.
+
+        Parameters
+        ==========
+        hosts : dict of str to tuple of str
+            The live hosts by data centre, including this one.
+        count : int
+            Number of all hosts, of which some may not be alive.
+        """
+        self._admission.set_hosts(hosts, count)
+        self._open_rankings = {}
 
     def set_terms(self, services):
         """Set the service terms, of which the warm-up rate is used."""
-        self._warmup_per_s = {
-            terms.name: terms.warmup_per_s for terms in services
-        }
+        self._admission.set_terms(services)
 
     def _clear_caches(self):
         self._weights = {}
         self._rankings = {}
+        self._open_rankings = {}
 
     # Choice of a server.
 
@@ -156,49 +161,72 @@
         =======
         Chosen or Rejected
         """
+        found = self._candidates(ask, self._ranking(ask), now)
+        if not found.usable and found.limited:
+            # Most of the servers have a limit: all on which this host may
+            # send are considered.
+            limited = found.limited
+            found = self._candidates(ask, self._ranking(ask, True), now)
+            found.limited += limited
+        if found.usable:
+            choice = self._pick(ask, found.usable, now)
+        else:
+            choice = _rejected(found)
+        if found.limited:
+            return dataclasses.replace(choice, passed_limited=True)
+        return choice
+
+    def _candidates(self, ask, names, now):
+        """Return the servers that may get a request, and why others not."""
+        found = _choice.Candidates()
         usable = []
         slow = []
-        held_off = []
-        cold = False
-        for name in self._ranking(ask):
+        for name in names:
             server = self._servers[name]
             if name in ask.tried or now < server.down_until:
                 continue
             if now < server.held_off_until:
-                held_off.append(server.held_off_until - now)
+                found.held_off.append(server.held_off_until - now)
                 continue
-            if now < server.cold_until and not self._is_cold_sender(name):
-                cold = True
+            wait_s = self._admission.wait_s(server, now)
+            if wait_s > 0.0:
+                found.limited.append(wait_s)
                 continue
+            if now < server.cold_until:
+                if not self._admission.is_cold_sender(server):
+                    found.cold = True
+                    continue
             if self._service_times.slow(server, self._servers.values(), now):
                 slow.append(server)
                 continue
+            if name != names[0] and not self._admission.prefers(
+                server, ask.object_key, now
+            ):
+                found.limited.append(0.0)
+                continue
             usable.append(server)
             if len(usable) >= MAX_CANDIDATES:
                 break
-        usable = usable or slow
-        if held_off and not usable:
-            return _choice.Rejected('held-off', min(held_off))
-        return self._pick(ask, usable, cold, now)
-
-    def _pick(self, ask, usable, cold, now):
-        if not usable:
-            reason = 'cold' if cold else 'no-server'
-            return _choice.Rejected(reason, _retry_after.MIN_RETRY_AFTER_S)
+        found.usable = usable or slow
+        return found
+
+    def _pick(self, ask, usable, now):
         home = usable[0]
         max_load = MAX_HOME_LOAD[min(ask.priority, len(MAX_HOME_LOAD) - 1)]
         if ask.remaining_s < self._service_times.min_s(home, now):
             return _choice.Rejected('late', _retry_after.MIN_RETRY_AFTER_S)
         relief = self._relief(ask, home, usable[1:], now)
-        if relief is not None and self._admits(relief, now):
+        if relief is not None and self._admission.admits(relief, now):
             return self._chosen(relief, 'relief', now)
-        if home.load_per_slot(now) < max_load and self._admits(home, now):
+        if home.load_per_slot(now) < max_load and self._admission.admits(
+            home, now
+        ):
             return self._chosen(home, 'home', now)
         by_load = sorted(usable, key=lambda server: server.load_per_slot(now))
         for server in by_load:
             if server.load_per_slot(now) >= MAX_SPILL_LOAD:
                 break
-            if self._admits(server, now):
+            if self._admission.admits(server, now):
                 return self._chosen(server, 'idle', now)
         wait_s = _retry_after.after_full_s(
             home.load_per_slot(now) - max_load, self.work_s(ask.service)
@@ -218,39 +246,39 @@
         if server.reported_at is not None:
             age = round(now - server.reported_at, 2)
         return _choice.Chosen(
-            server.entry, why, server.load_per_slot(now), age
+            server.entry,
+            why,
+            server.load_per_slot(now),
+            age,
+            self._admission.limit_of(server.entry).per_s,
         )
 
-    def _admits(self, server, now):
-        if now >= server.cold_until:
-            return True
-        rate = self._warmup_per_s.get(server.entry.service, 1.0)
-        return self._warmup_gate.admit(server.entry.instance, rate, now)
-
-    def _is_cold_sender(self, instance):
-        """Return whether this host is the one that may warm up a server."""
-        region = self._servers[instance].region
-        cold_sender = _warmup.cold_sender(
-            instance, region, self._hosts, self._regions
-        )
-        return cold_sender == self._host
+    def _ranking(self, ask, open_only=False):
+        """Return the instances to consider, best first.
 
-    def _ranking(self, ask):
-        """Return the instances to consider, best first."""
+        With ``open_only``, they are ranked without those to which only other
+        hosts send.
+        """
         weights = self._weights_of(ask.service, ask.regions, ask.bulky)
+        if open_only:
+            weights = {
+                name: weight
+                for name, weight in weights.items()
+                if self._admission.sends_to(self._servers[name])
+            }
         if ask.object_key is None:
             names = list(weights)
             self._rng.shuffle(names)
             return names
         key = (ask.service, ask.object_key, ask.regions, ask.bulky)
-        found = self._rankings.get(key)
+        cache = self._open_rankings if open_only else self._rankings
+        found = cache.get(key)
         if found is None:
-            if len(self._rankings) >= MAX_CACHED_RANKINGS:
-                self._rankings = {}
-            found = _rank.weighted_rendezvous(
+            if len(cache) >= MAX_CACHED_RANKINGS:
+                cache.clear()
+            found = cache[key] = _rank.weighted_rendezvous(
                 f'{ask.service}/{ask.object_key}', weights, MAX_RANKED
             )
-            self._rankings[key] = found
         return found
 
     def _weights_of(self, service, regions, bulky=False):
@@ -296,7 +324,7 @@
         known = server is not None
         warm = known and server.health.has_cached(object_key, now)
         load_factor = max(1.0, server.load_per_slot(now)) if known else 1.0
-        started_ms = server.entry.started_ms if known else 0
+        limit = self._admission.limit_of(server.entry) if known else None
         ticket = _choice.Ticket(
             next(self._ticket_numbers),
             instance,
@@ -304,10 +332,12 @@
             now,
             warm,
             load_factor,
-            started_ms,
-            self._limits.get(instance, started_ms).turn,
+            server.entry.started_ms if known else 0,
+            limit.turn if known else 0,
+            known and limit.per_s is not None,
         )
         if known:
+            self._admission.note_sent(server, now)
             server.tickets[ticket.number] = ticket
         return ticket
 
@@ -347,19 +377,65 @@
         return _choice.AnswerNews(news, self._note_limit(ticket, head))
 
     def _note_limit(self, ticket, head):
-        """Return the change of a server's limit that an answer shows."""
-        if head.other_instance or head.unreadable_limit is not None:
+        change = self._admission.note_answer(ticket, head)
+        if change is not None:
+            self._open_rankings = {}
+        return change
+
+    def receive_limit(self, instance, limit):
+        """Apply what another host knows of the limit of a server.
+
+        Parameters
+        ==========
+        instance : str
+            The server.
+        limit : ServerLimit
+            The state at the other host.
+
+        Returns
+        =======
+        LimitChange or None
+            None if the limit is as known before.
+        """
+        server = self._servers.get(instance)
+        if server is None or server.entry.started_ms != limit.started_ms:
             return None
-        before = self._limits.get(ticket.instance, ticket.started_ms)
-        after = self._limits.note_answer(
-            ticket.instance,
-            ticket.started_ms,
-            ticket.limit_turn,
-            head.limit_per_s,
+        change = self._admission.merge_limit(server.entry, limit)
+        if change is not None:
+            self._open_rankings = {}
+        return change
+
+    @property
+    def limited_count(self):
+        """The number of servers that name a limit."""
+        return sum(
+            limit.per_s is not None
+            for _, limit in self._admission.known_limits()
         )
-        if after is None:
-            return None
-        return _choice.LimitChange(before.per_s, after.per_s)
+
+    def sends_to(self, instance):
+        """Return whether this host may send to a server despite its limit."""
+        server = self._servers.get(instance)
+        return server is not None and self._admission.sends_to(server)
+
+    def limits_to_send(self, count):
+        """Return some limits for another host, half of them the newest.
+
+        Parameters
+        ==========
+        count : int
+            Number of servers at most.
+
+        Returns
+        =======
+        list of (str, ServerLimit)
+        """
+        rows = self._admission.known_limits()
+        if len(rows) <= count:
+            return rows
+        newest = count // 2
+        rest = self._rng.sample(rows[newest:], count - newest)
+        return rows[:newest] + rest
 
     def _update_server(self, server, ticket, head, failed, now):
         """Update the state of the current start of a server."""
@@ -403,10 +479,19 @@
             self._clear_caches()
         return news
 
-    def holds_off(self, instance, now):
-        """Return whether a server asked this host to hold off now."""
-        server = self._servers.get(instance)
-        return server is not None and now < server.held_off_until
+    def withholds(self, ticket, now):
+        """Return whether a chosen request must not be sent any more.
+
+        Its server may have asked this host to hold off, or named a limit,
+        while a connection for the request was being made.
+        """
+        server = self._servers.get(ticket.instance)
+        if server is None:
+            return False
+        if now < server.held_off_until:
+            return True
+        limit = self._admission.limit_of(server.entry)
+        return limit.per_s is not None and not ticket.paced
 
     def _exclude(self, server):
         """Exclude a server until it registers again."""
@@ -434,3 +519,14 @@
         server.cold_until = max(
             server.cold_until, now + pause_s + REGISTRATION_DELAY_S
         )
+
+
+def _rejected(found):
+    """Return the rejection of a request without a usable server."""
+    if found.held_off:
+        return _choice.Rejected('held-off', min(found.held_off))
+    if found.limited:
+        wait_s = _retry_after.after_limited_s(min(found.limited))
+        return _choice.Rejected('limited', wait_s)
+    reason = 'cold' if found.cold else 'no-server'
+    return _choice.Rejected(reason, _retry_after.MIN_RETRY_AFTER_S)
--- a/ebonypick/request/_retry_after.py
+++ b/ebonypick/request/_retry_after.py
@@ -50,3 +50,19 @@
     if load < 1.0:
         return RECONNECT_S
     return after_full_s(load - 1.0, work_s)
+
+
+def after_limited_s(wait_s):
+    """Return the time until a server with a limit accepts a request.
+
+    Examples
+    ========
+    >>> after_limited_s(0.1), after_limited_s(1.5), after_limited_s(60.0)
+    (0.4, 1.5, 2.0)
+
+    Parameters
+    ==========
+    wait_s : float
+        Seconds until this host may send to such a server.
+    """
+    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
--- a/ebonypick/request/_server_limits.py
+++ b/ebonypick/request/_server_limits.py
@@ -7,6 +7,10 @@
 
 import dataclasses
 
+# No server changes its limit as often; a higher turn, which another host sent,
+# would never be exceeded.
+MAX_TURN = 1 << 40
+
 
 @dataclasses.dataclass(frozen=True)
 class ServerLimit:
@@ -109,11 +113,17 @@
         known = self._known.get(instance)
         if known is None or known.started_ms < found.started_ms:
             known = ServerLimit(found.started_ms)
-        if found.order <= known.order:
+        if found.order <= known.order or found.turn > MAX_TURN:
             return None
+        # The servers are kept in the order of their changes.
+        self._known.pop(instance, None)
         self._known[instance] = found
         return found if found.per_s != known.per_s else None
 
+    def newest_first(self):
+        """Return (server, ``ServerLimit``) of all servers, by last change."""
+        return list(reversed(self._known.items()))
+
     def retain(self, entries):
         """Drop the limits of servers and starts that are not registered.
 
--- a/ebonypick/request/tests/limit_play.py
+++ b/ebonypick/request/tests/limit_play.py
@@ -16,6 +16,9 @@
 REGIONS = {'a1': 'a', 'a2': 'a', 'b1': 'b', 'b2': 'b', 'c1': 'c', 'c2': 'c'}
 SLOTS = 3
 WORK_S = 0.3
+# Interval at which each host exchanges what it knows with another one.
+GOSSIP_S = 0.5
+MAX_RECORDS = 12
 
 
 @dataclasses.dataclass(frozen=True)
@@ -75,6 +78,7 @@
         # Time of the first answer with a limit, by server and host.
         self.told = {}
         self.counts = collections.Counter()
+        self._groups = [list(self.fleets)]
 
     def make_fleet(self, name):
         """Return the state of a host that has just started."""
@@ -84,12 +88,25 @@
         fleet.update(self.entries, 0.0)
         return fleet
 
-    def views(self):
-        """Return the live hosts by data centre, as all hosts see them."""
-        found = collections.defaultdict(tuple)
-        for name in self.fleets:
-            found[self._centre_of[name]] += (name,)
-        return dict(found)
+    def set_views(self, now, *groups):
+        """Let each group of hosts see only its own members alive."""
+        self._groups = [list(names) for names in groups]
+        for names in groups:
+            view = collections.defaultdict(tuple)
+            for name in names:
+                view[self._centre_of[name]] += (name,)
+            for name in names:
+                self.fleets[name].set_hosts(dict(view), len(self.fleets))
+
+    def restart(self, now, name):
+        """Replace the state of a host by that of a new process."""
+        self.fleets[name] = self.make_fleet(name)
+        self.told = {
+            (server, host): at
+            for (server, host), at in self.told.items()
+            if host != name
+        }
+        self.set_views(now, *self._groups)
 
     def at(self, when, call, *args):
         """Call a function at a virtual time; its first argument is that."""
@@ -97,9 +114,9 @@
 
     def run(self, seconds):
         """Play a number of virtual seconds."""
-        for fleet in self.fleets.values():
-            fleet.set_hosts(self.views())
+        self.set_views(0.0, self.fleets)
         self.at(0.0, self._ask, seconds)
+        self.at(GOSSIP_S, self._gossip, seconds)
         while self._events:
             when, _, call, args = heapq.heappop(self._events)
             call(when, *args)
@@ -112,6 +129,20 @@
                 return row.per_s
         return None
 
+    def _gossip(self, now, seconds):
+        if now >= seconds:
+            return
+        self.at(now + GOSSIP_S, self._gossip, seconds)
+        for names in self._groups:
+            for name in names:
+                self._exchange(name, self._rng.choice(names))
+
+    def _exchange(self, *pair):
+        fleets = [self.fleets[name] for name in pair]
+        for sender, receiver in (fleets, reversed(fleets)):
+            for instance, limit in sender.limits_to_send(MAX_RECORDS):
+                receiver.receive_limit(instance, limit)
+
     def _ask(self, now, seconds):
         if now >= seconds:
             return
--- a/ebonypick/request/tests/test_departure.py
+++ b/ebonypick/request/tests/test_departure.py
@@ -123,8 +123,9 @@
     ):
         _answer(fleet, home, head, 1.0)
     assert home not in _served(fleet, 3.9)
-    assert fleet.holds_off(home, 3.9)
-    assert not fleet.holds_off(home, 4.1)
+    ticket = fleet.sent(home, 'k', 3.8)
+    assert fleet.withholds(ticket, 3.9)
+    assert not fleet.withholds(ticket, 4.1)
 
 
 def test_retry_after_is_the_end_of_the_first_hold_off():
--- a/ebonypick/request/tests/test_server_limits.py
+++ b/ebonypick/request/tests/test_server_limits.py
@@ -50,6 +50,13 @@
     assert limits.get('i', 6).per_s is None
 
 
+def test_a_turn_that_no_host_can_exceed_is_ignored():
+    limits = _server_limits.ServerLimits()
+    found = _server_limits.ServerLimit(5, _server_limits.MAX_TURN + 1, 0.0)
+    assert limits.merge('i', found) is None
+    assert limits.get('i', 5).per_s is None
+
+
 @hypothesis.given(strategies.lists(STATES, min_size=1, max_size=4))
 def test_hosts_agree_whatever_the_order_of_the_news(states):
     found = set()
