Move the rankings of servers into a module of their own

Preferences holds the weights and rankings of the servers of a data centre; what was computed from limits and hosts is dropped apart from the rest. The limit of a server is read without making an object for each candidate. No decision changes: pytest ebonypick/request ebonypick/experiment passes.

--- a/ebonypick/experiment/_object_policies.py
+++ b/ebonypick/experiment/_object_policies.py
@@ -21,8 +21,8 @@
 
     candidates = 1_000
 
-    def _ranking(self, ask, open_only=False):
-        names = list(self._weights_of(ask.service, ask.regions))
+    def _ranking(self, ask):
+        names = list(self._preferences.weights(ask.service, ask.regions))
         self._rng.shuffle(names)
         return names
 
@@ -55,25 +55,27 @@
     """Prefer servers of the caller's region while one has a free slot."""
 
     max_near = 3
+    # Region of the host.
+    here = ''
 
     def _pick(self, ask, usable, now):
-        here = self._regions[self._data_centre]
         near = [
             server
             for server in usable
-            if server.region == here and server.load_per_slot(now) < 1.0
+            if server.region == self.here and server.load_per_slot(now) < 1.0
         ]
         return super()._pick(ask, near or usable, now)
 
-    def _ranking(self, ask, open_only=False):
-        here = self._regions[self._data_centre]
+    def _ranking(self, ask):
         names = super()._ranking(ask)
-        near = [n for n in names if self._servers[n].region == here]
-        far = [n for n in names if self._servers[n].region != here]
+        near = [n for n in names if self._servers[n].region == self.here]
+        far = [n for n in names if self._servers[n].region != self.here]
         return near[: self.max_near] + far
 
 
 @policies.register('near-first')
 def make_near_first(host, centre, regions, rng):
     """Return the baseline that uses other regions once slots are full."""
-    return _NearFirst(host, centre, regions, rng)
+    fleet = _NearFirst(host, centre, regions, rng)
+    fleet.here = regions[centre]
+    return fleet
--- a/ebonypick/request/_admission.py
+++ b/ebonypick/request/_admission.py
@@ -203,8 +203,12 @@
                 server.entry.instance, share.rate_per_s, share.burst, now
             )
 
+    def limit_per_s(self, entry):
+        """Return the limit of a server; None without one."""
+        return self._limits.per_s(entry.instance, entry.started_ms)
+
     def _has_limit(self, server):
-        return self.limit_of(server.entry).per_s is not None
+        return self.limit_per_s(server.entry) is not None
 
     def _share(self, server):
         """Return this host's share of a server's limit, None without one."""
@@ -214,8 +218,8 @@
         return self._shares[instance]
 
     def _make_share(self, server):
-        limit = self.limit_of(server.entry)
-        share = _common_rate.divide(limit.per_s, self._host_count)
+        limit_per_s = self.limit_per_s(server.entry)
+        share = _common_rate.divide(limit_per_s, self._host_count)
         if share.senders >= self._host_count:
             return share
         sends = self._host in self._senders(server, share.senders)
--- a/ebonypick/request/_fleet.py
+++ b/ebonypick/request/_fleet.py
@@ -17,8 +17,7 @@
 from ebonypick.request import _admission
 from ebonypick.request import _choice
 from ebonypick.request import _departure
-from ebonypick.request import _nearness
-from ebonypick.request import _rank
+from ebonypick.request import _preference
 from ebonypick.request import _relief
 from ebonypick.request import _retry_after
 from ebonypick.request import _server_state
@@ -41,10 +40,6 @@
 # A server that was unreachable may have restarted. It counts as cold until
 # its new registration has had time to arrive.
 REGISTRATION_DELAY_S = 4.0
-MAX_CACHED_RANKINGS = 20_000
-# Servers ranked for an object. This exceeds MAX_CANDIDATES because some of
-# them may be down or tried already.
-MAX_RANKED = 2 * MAX_CANDIDATES
 
 
 class Fleet:
@@ -66,19 +61,16 @@
     """
 
     def __init__(self, host, data_centre, regions, rng=None):
-        self._data_centre = data_centre
         self._regions = dict(regions)
         self._rng = rng or random.Random(0)
         self._servers = {}
-        self._evacuated = frozenset()
         self._admission = _admission.Admission(host, data_centre, regions)
         self._departures = _departure.Departures()
         self._service_times = _service_times.ServiceTimes()
         self._ticket_numbers = itertools.count()
-        self._weights = {}
-        self._rankings = {}
-        # Rankings without the servers to which only other hosts send.
-        self._open_rankings = {}
+        self._preferences = _preference.Preferences(
+            data_centre, regions, self._departures, self._rng
+        )
 
     # Updates of configuration and membership.
 
@@ -110,18 +102,17 @@
             servers[entry.instance] = known
         self._servers = servers
         self._admission.retain([s.entry for s in servers.values()])
-        self._clear_caches()
+        self._preferences.set_servers(servers)
 
     def set_regions(self, regions):
         """Set the region of each data centre."""
         self._regions = dict(regions)
         self._admission.set_regions(regions)
-        self._clear_caches()
+        self._preferences.set_regions(regions)
 
     def set_evacuated(self, data_centres):
         """Set the data centres whose servers get no requests."""
-        self._evacuated = frozenset(data_centres)
-        self._clear_caches()
+        self._preferences.set_evacuated(data_centres)
 
     def set_hosts(self, hosts, count=0):
         """Set the entry hosts.
@@ -134,17 +125,12 @@
             Number of all hosts, of which some may not be alive.
         """
         self._admission.set_hosts(hosts, count)
-        self._open_rankings = {}
+        self._preferences.clear_open()
 
     def set_terms(self, services):
         """Set the service terms, of which the warm-up rate is used."""
         self._admission.set_terms(services)
 
-    def _clear_caches(self):
-        self._weights = {}
-        self._rankings = {}
-        self._open_rankings = {}
-
     # Choice of a server.
 
     def choose(self, ask, now):
@@ -166,7 +152,10 @@
             # Most of the servers have a limit: all on which this host may
             # send are considered.
             limited = found.limited
-            found = self._candidates(ask, self._ranking(ask, True), now)
+            names = self._preferences.open_ranking(
+                ask, self._admission.sends_to
+            )
+            found = self._candidates(ask, names, now)
             found.limited += limited
         if found.usable:
             choice = self._pick(ask, found.usable, now)
@@ -250,60 +239,12 @@
             why,
             server.load_per_slot(now),
             age,
-            self._admission.limit_of(server.entry).per_s,
+            self._admission.limit_per_s(server.entry),
         )
 
-    def _ranking(self, ask, open_only=False):
-        """Return the instances to consider, best first.
-
-        With ``open_only``, they are ranked without those to which only other
-        hosts send.
-        """
-        weights = self._weights_of(ask.service, ask.regions, ask.bulky)
-        if open_only:
-            weights = {
-                name: weight
-                for name, weight in weights.items()
-                if self._admission.sends_to(self._servers[name])
-            }
-        if ask.object_key is None:
-            names = list(weights)
-            self._rng.shuffle(names)
-            return names
-        key = (ask.service, ask.object_key, ask.regions, ask.bulky)
-        cache = self._open_rankings if open_only else self._rankings
-        found = cache.get(key)
-        if found is None:
-            if len(cache) >= MAX_CACHED_RANKINGS:
-                cache.clear()
-            found = cache[key] = _rank.weighted_rendezvous(
-                f'{ask.service}/{ask.object_key}', weights, MAX_RANKED
-            )
-        return found
-
-    def _weights_of(self, service, regions, bulky=False):
-        """Return the weights of the servers that may handle a request."""
-        key = (service, regions, bulky)
-        found = self._weights.get(key)
-        if found is None:
-            servers = {
-                name: (server.entry.data_centre, server.entry.slots)
-                for name, server in self._servers.items()
-                if server.entry.service == service
-                and not server.entry.draining
-                and not self._departures.includes(
-                    name, server.entry.started_ms
-                )
-                and server.entry.data_centre not in self._evacuated
-                and (not regions or server.region in regions)
-            }
-            found = self._weights[key] = _nearness.weigh(
-                servers,
-                self._data_centre,
-                self._regions,
-                _nearness.BULKY if bulky else _nearness.SMALL,
-            )
-        return found
+    def _ranking(self, ask):
+        """Return the instances to consider, best first."""
+        return self._preferences.ranking(ask)
 
     def work_s(self, service):
         """Return the usual time of a request of a service in seconds."""
@@ -379,7 +320,7 @@
     def _note_limit(self, ticket, head):
         change = self._admission.note_answer(ticket, head)
         if change is not None:
-            self._open_rankings = {}
+            self._preferences.clear_open()
         return change
 
     def receive_limit(self, instance, limit):
@@ -402,7 +343,7 @@
             return None
         change = self._admission.merge_limit(server.entry, limit)
         if change is not None:
-            self._open_rankings = {}
+            self._preferences.clear_open()
         return change
 
     @property
@@ -476,7 +417,7 @@
         """
         news = self._departures.note(instance, started_ms)
         if news:
-            self._clear_caches()
+            self._preferences.clear()
         return news
 
     def withholds(self, ticket, now):
@@ -490,13 +431,13 @@
             return False
         if now < server.held_off_until:
             return True
-        limit = self._admission.limit_of(server.entry)
-        return limit.per_s is not None and not ticket.paced
+        limit_per_s = self._admission.limit_per_s(server.entry)
+        return limit_per_s is not None and not ticket.paced
 
     def _exclude(self, server):
         """Exclude a server until it registers again."""
         server.entry = dataclasses.replace(server.entry, draining=True)
-        self._clear_caches()
+        self._preferences.clear()
 
     def record_malformed_answer(self, ticket, now):
         """Record a malformed answer of a server; call before ``ended``.
--- a/ebonypick/request/_server_limits.py
+++ b/ebonypick/request/_server_limits.py
@@ -72,6 +72,13 @@
             return ServerLimit(started_ms)
         return known
 
+    def per_s(self, instance, started_ms):
+        """Return the limit of a start of a server; None without one."""
+        known = self._known.get(instance)
+        if known is None or known.started_ms != started_ms:
+            return None
+        return known.per_s
+
     def note_answer(self, instance, started_ms, turn_at_send, per_s):
         """Apply the limit in an answer; return the new state if it changed.
 
