--- a/ebonypick/experiment/_object_policies.py
+++ b/ebonypick/experiment/_object_policies.py
@@ -1,6 +1,7 @@
 """Registry of the object-affine server choice and of its baselines."""
 
 import dataclasses
+import functools
 
 from ebonypick import registry
 from ebonypick import request
@@ -16,7 +17,7 @@
     return request.Fleet(host, centre, regions, rng)
 
 
-class _ByLoad(request.Fleet):
+class _ByLoad(request.Selection):
     """Choose the least loaded of some random servers, for any object."""
 
     candidates = 1_000
@@ -40,23 +41,29 @@
 @policies.register('least-loaded')
 def make_least_loaded(host, centre, regions, rng):
     """Return the baseline that chooses the least loaded of all servers."""
-    return _ByLoad(host, centre, regions, rng)
+    return request.Fleet(host, centre, regions, rng, _ByLoad)
+
+
+class _TwoChoices(_ByLoad):
+    """Choose the better of two random servers, for any object."""
+
+    candidates = 2
 
 
 @policies.register('two-choices')
 def make_two_choices(host, centre, regions, rng):
     """Return the baseline that chooses the better of two random servers."""
-    fleet = _ByLoad(host, centre, regions, rng)
-    fleet.candidates = 2
-    return fleet
+    return request.Fleet(host, centre, regions, rng, _TwoChoices)
 
 
 class _NearFirst(_ByLoad):
     """Prefer servers of the caller's region while one has a free slot."""
 
     max_near = 3
-    # Region of the host.
-    here = ''
+
+    def __init__(self, here, *parts):
+        super().__init__(*parts)
+        self.here = here
 
     def _pick(self, ask, usable, now):
         near = [
@@ -76,6 +83,5 @@
 @policies.register('near-first')
 def make_near_first(host, centre, regions, rng):
     """Return the baseline that uses other regions once slots are full."""
-    fleet = _NearFirst(host, centre, regions, rng)
-    fleet.here = regions[centre]
-    return fleet
+    near_first = functools.partial(_NearFirst, regions[centre])
+    return request.Fleet(host, centre, regions, rng, near_first)
--- a/ebonypick/request/__init__.py
+++ b/ebonypick/request/__init__.py
@@ -45,6 +45,7 @@
 from ebonypick.request._retry_limit import RepeatLimit
 from ebonypick.request._retry_limit import RepeatTerms
 from ebonypick.request._round_robin import WeightedRoundRobin
+from ebonypick.request._selection import Selection
 from ebonypick.request._server import AnswerHead
 from ebonypick.request._server import CallerHead
 from ebonypick.request._server import LoadReport
@@ -89,6 +90,7 @@
     'Result',
     'RetryBudget',
     'Running',
+    'Selection',
     'ServerEntry',
     'ServerLimit',
     'ShiftCredit',
