Play servers that name limits in the soak

A trouble lets servers of a service name limits of 0.5 to 20 a second, change and withdraw them; a promise counts what undisturbed hosts that had passed on such an answer sent. Its checks are tested with broken histories.

--- a/bin/prove_needed.py
+++ b/bin/prove_needed.py
@@ -371,7 +371,7 @@
         'ebonypick/request/_common_rate.py',
         'if allowed - hosts < MIN_EVEN_SHARE * WINDOW_S * limit_per_s:',
         'if False:',
-        ('ebonypick/request/tests/test_limited_servers.py',),
+        ('ebonypick/request/tests/test_common_rate.py',),
     ),
     Cut(
         'limits hold over all hosts',
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -117,6 +117,8 @@
     async def crash(self):
         """Reset all connections and stop listening."""
         self._server.close()
+        if self.limit_per_s is not None:
+            self.name_limit(None)
         for writer in list(self._writers):
             writer.transport.abort()
         for task in list(self._tasks):
@@ -135,12 +137,10 @@
             limits.NamedLimit(self.instance, time.monotonic(), per_s)
         )
 
-    def _limit_per_s(self):
-        """Return the limit that this start of the server names."""
-        if not self.named_limits:
-            return None
-        last = self.named_limits[-1]
-        return last.per_s if last.at >= self._started_at else None
+    @property
+    def limit_per_s(self):
+        """The limit that answers name now, or None."""
+        return self.named_limits[-1].per_s if self.named_limits else None
 
     def entry(self):
         """Return the next registration for the store.
@@ -360,9 +360,8 @@
             rows.append('Not-Executed: 1')
         if self.says_leaving:
             rows.append('Server-Leaving: 1')
-        limit_per_s = self._limit_per_s()
-        if limit_per_s is not None:
-            rows.append(f'Server-Limit: {limit_per_s}')
+        if self.limit_per_s is not None:
+            rows.append(f'Server-Limit: {self.limit_per_s}')
         if status == 503 and self.hold_off_s:
             left_s = max(0.0, self.held_off_until - time.monotonic())
             rows.append(f'Retry-After: {left_s or self.hold_off_s:.2f}')
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -114,6 +114,14 @@
     return found
 
 
+@promises.register('limits')
+def check_limits(world):
+    """Undisturbed hosts together respect the limits that servers name."""
+    return steering_calls.limit_breaches(
+        world, lambda host, start, end: world.calm(start, end, host)
+    )
+
+
 @promises.register('evacuate')
 def check_evacuations(world):
     """An evacuated data centre gets nothing until the evacuation ends."""
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -21,6 +21,7 @@
 ANSWER_FAULTS += ('shed', 'hang', 'garbage')
 DELAY_S = 0.3
 COLD_S = 3.0
+LIMITS_PER_S = (0.5, 2.0, 6.0, 20.0)
 # Writers repeat the writes that the store lost within the first time, and
 # hosts have received them one second later.
 MAX_REWRITE_S = 2.0
@@ -346,6 +347,20 @@
     server.hold_off_s = 0.0
 
 
+@troubles.register('servers name limits')
+async def name_limits(world, rng, for_s):
+    """Let servers of a service name limits, change and withdraw them."""
+    servers = world.of(rng.choice(('registry', 'evidence')))
+    servers = rng.sample(servers, rng.randint(1, len(servers)))
+    for _ in range(rng.randint(1, 2)):
+        for server in servers:
+            server.name_limit(rng.choice(LIMITS_PER_S))
+        await asyncio.sleep(soak_world.CONTACT_S)
+    await asyncio.sleep(for_s)
+    for server in servers:
+        server.name_limit(None)
+
+
 @troubles.register('servers send without end')
 async def send_for_ever(world, rng, for_s):
     """Let one to three servers send endless answers."""
--- a/tests/steering_calls.py
+++ b/tests/steering_calls.py
@@ -1,9 +1,12 @@
 """Requests of test callers, and checks of the guarantees to callers."""
 
+import collections
 import dataclasses
 
 import aiohttp
 
+from standins import limits
+
 HOST = 'callers.example'
 PROMISES = (408, 421, 429, 503)
 DEADLINE_S = 3.0
@@ -124,3 +127,47 @@
             elif (run.target, run.digest) != (call.target, call.digest):
                 found.append(f'{req}: target or body was changed in transit')
     return found
+
+
+def limit_breaches(world, counts=lambda host, start, end: True):
+    """Return a sentence for each breach of a limit that a server named.
+
+    Parameters
+    ==========
+    world : SteeringWorld
+        Deployment with its calls and backend servers.
+    counts : callable, optional
+        Returns whether requests of a host count that was told of a limit at
+        one time and sent a request at another.
+    """
+    names = {world.address(name): name for name in world.processes}
+    told = _first_told(world)
+    found = []
+    for server in world.upstreams:
+        named = collections.defaultdict(list)
+        for row in server.named_limits:
+            named[row.instance].append(row)
+        for instance, rows in named.items():
+            known = told.get(instance, {})
+            arrivals = [
+                (a.at, names.get(a.source))
+                for a in server.arrivals
+                if a.instance == instance and not a.misdirected
+            ]
+            arrivals = [
+                (at, host)
+                for at, host in arrivals
+                if host in known and counts(host, known[host], at)
+            ]
+            found += limits.breaches(rows, arrivals, known)
+    return found
+
+
+def _first_told(world):
+    """Return when each host passed on the first limit, by instance."""
+    told = collections.defaultdict(dict)
+    for call in sorted(world.calls, key=lambda c: c.ended_at):
+        if 'server-limit' in call.headers:
+            instance = call.headers.get('server-seal')
+            told[instance].setdefault(call.host, call.ended_at)
+    return told
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 
-from standins import limits
 from tests import steering_calls
 from tests import steering_world
 
@@ -13,25 +12,6 @@
 LIMIT_PER_S = 1.0
 
 
-def limit_breaches(world):
-    """Return a sentence for each breach of a limit that a server named."""
-    names = {world.address(name): name for name in world.names()}
-    found = []
-    for server in world.upstreams:
-        arrivals = [
-            (a.at, names.get(a.source, a.source))
-            for a in server.arrivals
-            if a.instance == server.instance
-        ]
-        told = {}
-        for call in sorted(world.calls, key=lambda c: c.ended_at):
-            if 'server-limit' in call.headers:
-                if call.headers.get('server-seal') == server.instance:
-                    told.setdefault(call.host, call.ended_at)
-        found += limits.breaches(server.named_limits, arrivals, told)
-    return found
-
-
 def test_hosts_together_respect_the_limit_that_a_server_names(tmp_path):
     async def play(world, session):
         load = asyncio.create_task(world.load(12.0, LOAD_PER_S))
@@ -45,7 +25,11 @@
         assert heard
         late = [call for call in world.calls if call.sent_at > named_at + 4.0]
         served = sum(call.status == 200 for call in late) / len(late)
-        return limit_breaches(world), served, steering_calls.violations(world)
+        return (
+            steering_calls.limit_breaches(world),
+            served,
+            steering_calls.violations(world),
+        )
 
     breaches, served, broken = steering_world.run_scene(
         tmp_path, SEED, play, hosts=2, servers=3
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from standins import limits
 from standins import server_records
 from standins import upstream
 from tests.soak import promises
@@ -188,3 +189,28 @@
 def test_too_few_served_after_the_recovery():
     calls = [types.SimpleNamespace(status=s) for s in (200, 503, 503)]
     assert promises.check_recovered(calls) != []
+
+
+def _name_limit(world, per_s, at):
+    world.server.named_limits.append(
+        limits.NamedLimit(world.server.instance, at, per_s)
+    )
+    headers = {'server-limit': per_s, 'server-seal': world.server.instance}
+    world.record_call('read', 200, at, at + 0.1, headers=headers)
+
+
+def test_requests_beyond_a_limit(world):
+    _name_limit(world, 1.0, at=10.0)
+    for number in range(11):
+        world.arrive(13.0 + number / 10)
+    assert promises.check_limits(world) == []
+    world.arrive(14.5)
+    assert len(promises.check_limits(world)) == 1
+
+
+def test_requests_of_a_disturbed_host_beyond_a_limit(world):
+    _name_limit(world, 1.0, at=10.0)
+    world.record_disturbance(HOST, 12.0, 13.0)
+    for number in range(40):
+        world.arrive(13.0 + number / 10)
+    assert promises.check_limits(world) == []
