Withdraw a limit only on an answer that its server ran

A rejection need not carry the limit again that caused it, and an unsealed answer may come from another process: neither ends a limit now, only a sealed answer without one. test_a_rejection_without_a_limit_does_not_ withdraw_it failed before. The gauge of limited servers counts when it is read, so that servers that are gone leave it.

--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -65,6 +65,9 @@
             settings.data_centres,
             self._rng,
         )
+        self.metrics.limited_backends.set_function(
+            lambda: self.fleet.limited_count
+        )
         self.started_ms = time.time_ns() // 1_000_000
         self.gossip = _gossip.GossipTask(
             self,
@@ -214,7 +217,7 @@
     # Methods that requests call.
 
     def note_limit(self, instance, change, source, req=None):
-        """Log a changed limit of a server and count the limited servers.
+        """Log a changed limit of a server.
 
         Parameters
         ==========
@@ -235,7 +238,6 @@
             source=source,
             req=req,
         )
-        self.metrics.limited_backends.set(self.fleet.limited_count)
 
     def choose_service(self, route):
         """Choose the service of the next request by the route's weights."""
--- a/ebonypick/request/_admission.py
+++ b/ebonypick/request/_admission.py
@@ -121,6 +121,9 @@
         """
         if head.other_instance or head.unreadable_limit is not None:
             return None
+        if head.limit_per_s is None and not head.sealed:
+            # A rejection need not repeat the limit that caused it.
+            return None
         before = self._limits.get(ticket.instance, ticket.started_ms)
         after = self._limits.note_answer(
             ticket.instance,
--- a/ebonypick/request/tests/test_limited_servers.py
+++ b/ebonypick/request/tests/test_limited_servers.py
@@ -134,6 +134,18 @@
     assert isinstance(fleet.choose(ASK, 1.2), request.Rejected)
 
 
+def test_a_rejection_without_a_limit_does_not_withdraw_it():
+    fleet = _limited_fleet()
+    fleet.receive_limit('s', request.ServerLimit(5, 1, 1.0))
+    for head, limited in (
+        (request.AnswerHead('r', not_run=True), True),
+        (request.AnswerHead('r', sealed=True), False),
+    ):
+        fleet.answered(fleet.sent('s', 'k', 1.0), head, False, 1.1)
+        found = fleet.choose(ASK, 1.2)
+        assert isinstance(found, request.Rejected) == limited
+
+
 def test_a_new_start_of_a_server_has_no_limit():
     fleet = _limited_fleet()
     fleet.receive_limit('s', request.ServerLimit(5, 1, 1.0))
