Answer one question for a server with a limit: how long to wait

The choice asked first for the wait and then whether the request was worth a token, and a request that was not got the shortest Retry-After. Both are one wait now, of one token or of one and a half, and its end is the Retry-After.

--- a/bin/prove_needed.py
+++ b/bin/prove_needed.py
@@ -413,8 +413,8 @@
         'limited servers answer in time',
         'requests for cached objects go first',
         'ebonypick/request/_admission.py',
-        'return tokens >= SPARE_TOKENS',
-        'return True',
+        'SPARE_TOKENS = 1.5',
+        'SPARE_TOKENS = 1.0',
         (
             'ebonypick/experiment/tests/test_objects.py',
             '-k',
--- a/ebonypick/experiment/tests/test_objects.py
+++ b/ebonypick/experiment/tests/test_objects.py
@@ -251,7 +251,7 @@
 ):
     """All servers name a limit, which leaves few requests to each."""
     found = _simulate_limits(1.0, limit_per_s)
-    monkeypatch.setattr(_admission.Admission, 'prefers', lambda *args: True)
+    monkeypatch.setattr(_admission, 'SPARE_TOKENS', 1.0)
     any_object = _simulate_limits(1.0, limit_per_s)
     assert found['worth'] > any_object['worth']
     assert found['cold'] < any_object['cold']
--- a/ebonypick/request/_admission.py
+++ b/ebonypick/request/_admission.py
@@ -17,8 +17,8 @@
 # rate and some requests.
 COLD_SHARE_OF_RATE = 0.5
 COLD_BURST = 1.0
-# Tokens with which a server gets a request for an object that it has not
-# cached. Tokens beyond the burst count, as they are lost otherwise.
+# Tokens that a request needs for an object that has its home elsewhere and is
+# not cached. Those that exceed the burst count, as they are lost otherwise.
 SPARE_TOKENS = 1.5
 
 
@@ -65,8 +65,8 @@
         """Set the live hosts, and all hosts, by data centre."""
         self._hosts = dict(hosts)
         self._listed = {
-            centre: frozenset(listed.get(centre, ())) | {*names}
-            for centre, names in {**listed, **hosts}.items()
+            centre: {*listed.get(centre, ()), *hosts.get(centre, ())}
+            for centre in listed.keys() | hosts.keys()
         }
         self._shares = {}
 
@@ -182,8 +182,22 @@
         """Return whether this host may send to a server at all."""
         return not self._has_limit(server) or self._share(server) is not None
 
-    def wait_s(self, server, now):
-        """Return the seconds until this host may send to a server.
+    def wait_s(self, server, object_key, at_home, now):
+        """Return the seconds until this host may send a request to a server.
+
+        Requests for objects that the server is home of or has cached go
+        first. Other ones get what these leave.
+
+        Parameters
+        ==========
+        server : ServerState
+            The server.
+        object_key : str or None
+            The key of the object that the request concerns.
+        at_home : bool
+            Whether the server is the home of the object.
+        now : float
+            Monotonic time in seconds.
 
         Returns
         =======
@@ -195,24 +209,17 @@
         share = self._share(server)
         if share is None:
             return float('inf')
-        return self._limit_gate.wait_s(
-            server.entry.instance, share.rate_per_s, now
+        first = (
+            at_home
+            or object_key is None
+            or server.health.has_cached(object_key, now)
         )
-
-    def prefers(self, server, object_key, now):
-        """Return whether a request should use this host's share of a limit.
-
-        Requests for objects that the server has cached go first. If there
-        are none for long, any object gets the share.
-        """
-        if object_key is None or not self._has_limit(server):
-            return True
-        if server.health.has_cached(object_key, now):
-            return True
-        tokens = self._limit_gate.tokens(
-            server.entry.instance, self._share(server).rate_per_s, now
+        return self._limit_gate.wait_s(
+            server.entry.instance,
+            share.rate_per_s,
+            now,
+            1.0 if first else SPARE_TOKENS,
         )
-        return tokens >= SPARE_TOKENS
 
     def note_sent(self, server, now):
         """Count a request that is sent to a server."""
--- a/ebonypick/request/_common_rate.py
+++ b/ebonypick/request/_common_rate.py
@@ -6,9 +6,8 @@
 
 If the limit leaves room for a request of every host in a window, all of them
 send, whoever is alive, those in the region of the server more than others.
-Otherwise a few hosts send, those that
-rank highest for the server, and the bound is divided by two, as two groups of
-hosts may each send for a while.
+Otherwise a few hosts send, those that rank highest for the server, and the
+bound is divided by two, as two groups of hosts may each send for a while.
 """
 
 import dataclasses
--- a/ebonypick/request/_rate_gate.py
+++ b/ebonypick/request/_rate_gate.py
@@ -24,7 +24,7 @@
         self._buckets = {}
 
     def tokens(self, instance, rate_per_s, now):
-        """Return the tokens of a server, also those beyond the burst.
+        """Return the tokens of a server, with those that exceed the burst.
 
         Returns
         =======
@@ -36,9 +36,9 @@
             return float('inf')
         return bucket.tokens + (now - bucket.at) * rate_per_s
 
-    def wait_s(self, instance, rate_per_s, now):
-        """Return the seconds until a request may be sent."""
-        missing = 1.0 - self.tokens(instance, rate_per_s, now)
+    def wait_s(self, instance, rate_per_s, now, needed=1.0):
+        """Return the seconds until a server has as many tokens as needed."""
+        missing = needed - self.tokens(instance, rate_per_s, now)
         return max(0.0, missing / rate_per_s)
 
     def take(self, instance, rate_per_s, burst, now):
--- a/ebonypick/request/_selection.py
+++ b/ebonypick/request/_selection.py
@@ -98,7 +98,9 @@
             if now < server.held_off_until:
                 found.held_off.append(server.held_off_until - now)
                 continue
-            wait_s = self._admission.wait_s(server, now)
+            wait_s = self._admission.wait_s(
+                server, ask.object_key, name == names[0], now
+            )
             if wait_s > 0.0:
                 found.limited.append(wait_s)
                 continue
@@ -109,11 +111,6 @@
             if self._service_times.slow(server, self._servers.values(), now):
                 slow.append(server)
                 continue
-            if name != names[0] and not self._admission.prefers(
-                server, ask.object_key, now
-            ):
-                found.limited.append(0.0)
-                continue
             usable.append(server)
             if len(usable) >= MAX_CANDIDATES:
                 break
