--- a/ebonypick/process/_server_attempt.py
+++ b/ebonypick/process/_server_attempt.py
@@ -186,7 +186,9 @@
         async with self._node.pool(entry).connection() as conn:
             if self._node.fleet.withholds(self._ticket, time.monotonic()):
                 return AttemptResult(
-                    request.Outcome.NOT_RUN, 'held off', may_have_arrived=False
+                    request.Outcome.NOT_RUN,
+                    'withheld: the server asked for a pause or named a limit',
+                    may_have_arrived=False,
                 )
             self.sent = True
             await self._send(conn, entry)
