Log an unreadable limit once, not with each answer

EP1316 was written for every answer of a server whose limit cannot be read, which has no bound under load. It is written when the text changes now. test_an_unreadable_limit_leaves_the_known_one_in_force checks it. Limits go into a message where its other fields do. No decision changes since.

--- a/ebonypick/platform/_headers.py
+++ b/ebonypick/platform/_headers.py
@@ -22,7 +22,7 @@
 # A longer time is treated as a fault of the server and ignored.
 _MAX_HOLD_OFF_S = 3_600.0
 # Unreadable values are logged up to this length.
-MAX_LOGGED_CHARS = 80
+_MAX_LOGGED_CHARS = 80
 # Requests per second that the server accepts from all hosts together, until
 # an answer without this header.
 _LIMIT_PER_S = 'server-limit'
@@ -153,7 +153,9 @@
         leaving=headers.get(_LEAVING, '').strip() == '1',
         hold_off_s=_hold_off_s(status, headers.get(_HOLD_OFF_S, '')),
         limit_per_s=limit_per_s,
-        unreadable_limit=limit_text[:MAX_LOGGED_CHARS] if unreadable else None,
+        unreadable_limit=limit_text[:_MAX_LOGGED_CHARS]
+        if unreadable
+        else None,
     )
 
 
--- a/ebonypick/process/_gossip.py
+++ b/ebonypick/process/_gossip.py
@@ -77,11 +77,9 @@
             self._node.board.platform_now(),
             time.monotonic(),
             self._node.table_revisions(),
+            self._node.limits_to_send(),
         )
-        limits = self._node.limits_to_send()
-        return msgspec.json.encode(
-            msgspec.structs.replace(message, limits=limits)
-        )
+        return msgspec.json.encode(message)
 
     def _apply(self, message, source):
         self._membership.receive(message, time.monotonic())
--- a/ebonypick/process/_membership.py
+++ b/ebonypick/process/_membership.py
@@ -241,7 +241,9 @@
         fresh.sort(key=lambda received: received.at, reverse=True)
         return [received.record for received in fresh]
 
-    def message(self, to_centre, version, platform_s, now, revisions=None):
+    def message(
+        self, to_centre, version, platform_s, now, revisions=None, limits=()
+    ):
         """Return the message to a host of a data centre."""
         hosts = (self._own_record(),) if self.leaving else ()
         if to_centre == self.data_centre:
@@ -260,6 +262,7 @@
             hosts,
             tuple(centres),
             revisions or {},
+            limits,
         )
 
     def receive(self, message, now):
--- a/ebonypick/process/_server_attempt.py
+++ b/ebonypick/process/_server_attempt.py
@@ -218,9 +218,9 @@
             self._node.store_view.note_server_leaving(entry, req)
         if news.limit is not None:
             self._node.note_limit(entry.instance, news.limit, 'an answer', req)
-        if head.unreadable_limit is not None:
+        if news.unreadable_limit is not None:
             events.BACKEND_LIMIT_UNREADABLE.log(
-                backend=entry.instance, header=head.unreadable_limit, req=req
+                backend=entry.instance, header=news.unreadable_limit, req=req
             )
         if head.hold_off_s:
             events.BACKEND_HOLDS_OFF.log(
--- a/ebonypick/request/_choice.py
+++ b/ebonypick/request/_choice.py
@@ -146,10 +146,13 @@
         Whether this is the first notice that the server is leaving.
     limit : LimitChange or None
         The change of its limit; None where the limit is as known.
+    unreadable_limit : str or None
+        A limit that cannot be read, unless the last one was the same.
     """
 
     leaves: bool = False
     limit: LimitChange | None = None
+    unreadable_limit: str | None = None
 
 
 @dataclasses.dataclass
--- a/ebonypick/request/_fleet.py
+++ b/ebonypick/request/_fleet.py
@@ -205,13 +205,18 @@
         AnswerNews
         """
         server = self._servers.get(ticket.instance)
-        leaves = head.leaving and not head.other_instance
-        news = leaves and self.leaves(ticket.instance, ticket.started_ms)
+        departs = head.leaving and not head.other_instance
+        departs = departs and self.leaves(ticket.instance, ticket.started_ms)
         if server is None or server.entry.started_ms != ticket.started_ms:
             # An answer of an earlier start says nothing about this one.
-            return _choice.AnswerNews(news)
+            return _choice.AnswerNews(departs)
         self._update_server(server, ticket, head, failed, now)
-        return _choice.AnswerNews(news, self._note_limit(ticket, head))
+        unreadable = head.unreadable_limit
+        if unreadable == server.unreadable_limit:
+            unreadable = None
+        server.unreadable_limit = head.unreadable_limit
+        change = self._note_limit(ticket, head)
+        return _choice.AnswerNews(departs, change, unreadable)
 
     def _note_limit(self, ticket, head):
         change = self._admission.note_answer(ticket, head)
--- a/ebonypick/request/_server_state.py
+++ b/ebonypick/request/_server_state.py
@@ -38,6 +38,8 @@
         Monotonic time until which no connection is tried.
     held_off_until : float
         Monotonic time until which the server wants no requests from this host.
+    unreadable_limit : str or None
+        The limit in its last answer if it could not be read.
     answered_at : float
         Monotonic time of the last answer.
     unanswered : int
@@ -54,6 +56,7 @@
     failures: int = 0
     down_until: float = 0.0
     held_off_until: float = 0.0
+    unreadable_limit: str | None = None
     answered_at: float = float('-inf')
     unanswered: int = 0
 
--- a/ebonypick/request/tests/test_limited_servers.py
+++ b/ebonypick/request/tests/test_limited_servers.py
@@ -129,9 +129,11 @@
 def test_an_unreadable_limit_leaves_the_known_one_in_force():
     fleet = _limited_fleet()
     fleet.receive_limit('s', request.ServerLimit(5, 1, 1.0))
-    ticket = fleet.sent('s', 'k', 1.0)
     head = request.AnswerHead('r', sealed=True, unreadable_limit='few')
-    assert fleet.answered(ticket, head, False, 1.1).limit is None
+    for logged in ('few', None):
+        ticket = fleet.sent('s', 'k', 1.0)
+        news = fleet.answered(ticket, head, False, 1.1)
+        assert (news.limit, news.unreadable_limit) == (None, logged)
     assert isinstance(fleet.choose(ASK, 1.2), request.Rejected)
 
 
