--- a/ebonypick/request/_fleet.py
+++ b/ebonypick/request/_fleet.py
@@ -127,19 +127,7 @@
     # Choice of a server.
 
     def choose(self, ask, now):
-        """Choose the server for a request.
-
-        Parameters
-        ==========
-        ask : Ask
-            The request.
-        now : float
-            Monotonic time in seconds.
-
-        Returns
-        =======
-        Chosen or Rejected
-        """
+        """Choose the server for a request, as ``Selection.choose`` does."""
         return self._selection.choose(ask, now)
 
     def work_s(self, service):
