Remove what reading the change found twice or unused

The mean of several seeds stood twice in test_objects.py, the look-up of a known limit twice in ServerLimits, and the model counted requests at limited servers that nothing reads. No behaviour, bound or assertion changes.

--- a/ebonypick/experiment/_object_simulation.py
+++ b/ebonypick/experiment/_object_simulation.py
@@ -287,8 +287,6 @@
             return
         server = self._servers[attempt.server]
         self._count_unwanted(now, server, attempt)
-        limited = self._trouble_is('limited', now, server)
-        self.counts['at limited'] += limited
         refuses = self._trouble_is('held-off', now, server)
         if refuses or self._sheds(now, server):
             self._reject(now, attempt, tried, server)
--- a/ebonypick/experiment/tests/test_objects.py
+++ b/ebonypick/experiment/tests/test_objects.py
@@ -169,12 +169,10 @@
 SEEDS = (1, 2, 3)
 
 
-def _simulate_catalogue(per_s, trouble=None):
+def _mean_of_runs(site, per_s, trouble):
     """Return the mean figures of runs with several seeds."""
     found = [
-        _object_simulation.play(
-            'catalogue', 'objects', per_s, SECONDS, seed, trouble
-        )
+        _object_simulation.play(site, 'objects', per_s, SECONDS, seed, trouble)
         for seed in SEEDS
     ]
     return {
@@ -182,6 +180,10 @@
     }
 
 
+def _simulate_catalogue(per_s, trouble=None):
+    return _mean_of_runs('catalogue', per_s, trouble)
+
+
 @pytest.mark.parametrize('per_s', [120, 180])
 def test_busy_homes_are_relieved_where_a_first_answer_is_in_time(
     monkeypatch, per_s
@@ -227,15 +229,7 @@
     trouble = _object_sites.Trouble(
         8.0, 24.0, part, mode='limited', limit_per_s=limit_per_s
     )
-    found = [
-        _object_simulation.play(
-            'latency', 'objects', 67, SECONDS, seed, trouble
-        )
-        for seed in SEEDS
-    ]
-    return {
-        name: sum(row[name] for row in found) / len(found) for name in found[0]
-    }
+    return _mean_of_runs('latency', 67, trouble)
 
 
 @pytest.mark.parametrize('limit_per_s', [0.7, 1.5, 4.0])
--- a/ebonypick/request/_server_limits.py
+++ b/ebonypick/request/_server_limits.py
@@ -65,19 +65,20 @@
     def __init__(self):
         self._known = {}
 
-    def get(self, instance, started_ms):
-        """Return the ``ServerLimit`` of a start of a server."""
+    def _find(self, instance, started_ms):
         known = self._known.get(instance)
         if known is None or known.started_ms != started_ms:
-            return ServerLimit(started_ms)
+            return None
         return known
 
+    def get(self, instance, started_ms):
+        """Return the ``ServerLimit`` of a start of a server."""
+        return self._find(instance, started_ms) or ServerLimit(started_ms)
+
     def per_s(self, instance, started_ms):
         """Return the limit of a start of a server; None without one."""
-        known = self._known.get(instance)
-        if known is None or known.started_ms != started_ms:
-            return None
-        return known.per_s
+        known = self._find(instance, started_ms)
+        return None if known is None else known.per_s
 
     def note_answer(self, instance, started_ms, turn_at_send, per_s):
         """Apply the limit in an answer; return the new state if it changed.
