Log the age of the store's last answer when a table is lost

EP1411 has the seconds since the last answer now, which tells a silent connection (as long as a feed waits) from a store that refuses (at once).

No decision changes. Ran: the tests of the table follower.

--- a/ebonypick/events.py
+++ b/ebonypick/events.py
@@ -183,6 +183,7 @@
     'in use.',
     'table',
     'revision',
+    'answer_age_s',
     'why',
 )
 STORE_REGAINED = define(
--- a/ebonypick/process/_table_follower.py
+++ b/ebonypick/process/_table_follower.py
@@ -91,6 +91,7 @@
         self._rows = _table_rows.TableRows(table, retention_s, is_later)
         self._unavailable_since = None
         self._recovered_at = None
+        self._answered_at = None
 
     @property
     def rows(self):
@@ -198,10 +199,20 @@
         if self._unavailable_since is None:
             self._unavailable_since = time.monotonic()
             events.STORE_LOST.log(
-                table=self._table, revision=self.revision, why=str(exc)
+                table=self._table,
+                revision=self.revision,
+                answer_age_s=self._answer_age_s(),
+                why=str(exc),
             )
 
+    def _answer_age_s(self):
+        """Return the seconds since the store's last answer, or None."""
+        if self._answered_at is None:
+            return None
+        return round(time.monotonic() - self._answered_at, 2)
+
     def _note_recovered(self):
+        self._answered_at = time.monotonic()
         if self._unavailable_since is None:
             return
         now = time.monotonic()
