Notice silent feeds of the store before versions are late

What callers saw: after all open connections went silent, requests were refused or run as an older version says for up to 1.5 s beyond the bound.

Cause: a feed waits 4 s at the store and was given up 1 s later.

Change: the settings carry contact. Feeds of versions and servers wait 1.8 s less than it, and one that times out asks once more at once on a new connection (EP1422) before the store counts as lost.

Ruled out: an older answer of the store (no EP1402, EP1419), and failing gossip (works again after 0.5 s).

--- a/ebonypick/errors.py
+++ b/ebonypick/errors.py
@@ -354,6 +354,13 @@
     )
 
 
+class SilentPlatformError(PlatformError):
+    """The platform did not answer a call in time."""
+
+    code = 'EP5001'
+    message = 'The platform at {address} did not answer: {reason}.'
+
+
 class PeerError(EbonypickError):
     """A call to another entry host failed."""
 
--- a/ebonypick/events.py
+++ b/ebonypick/events.py
@@ -186,6 +186,14 @@
     'answer_age_s',
     'why',
 )
+FEED_SILENT = define(
+    'EP1422',
+    'A feed of the store did not answer in time; its changes are requested '
+    'on a new connection.',
+    'table',
+    'revision',
+    'answer_age_s',
+)
 STORE_REGAINED = define(
     'EP1412',
     'A table of the store is followed again after an outage.',
--- a/ebonypick/platform/__init__.py
+++ b/ebonypick/platform/__init__.py
@@ -17,6 +17,7 @@
 from ebonypick.platform._lookup import lookup_place
 from ebonypick.platform._revision import NO_REVISION
 from ebonypick.platform._revision import Revision
+from ebonypick.platform._store import FEED_MARGIN_S
 from ebonypick.platform._store import HistoryExpiredError
 from ebonypick.platform._store import HOST_TABLE
 from ebonypick.platform._store import OPERATOR_TABLE
@@ -26,6 +27,7 @@
 from ebonypick.platform._store import TableStore
 
 __all__ = (
+    'FEED_MARGIN_S',
     'HOST_TABLE',
     'HistoryExpiredError',
     'NO_REVISION',
--- a/ebonypick/platform/_store.py
+++ b/ebonypick/platform/_store.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ebonypick import connection
+from ebonypick import errors
 from ebonypick import events
 from ebonypick.platform import _revision
 from ebonypick.platform import _units
@@ -18,7 +19,7 @@
 
 CALL_TIMEOUT_S = 2.0
 # Time that a feed call may take beyond its wait for changes at the store.
-FEED_MARGIN_S = 1.0
+FEED_MARGIN_S = 0.8
 PAGE_ROWS = 500
 # Header of each answer: the number of times that the store was restored from
 # an older copy.
@@ -205,6 +206,11 @@
         except (connection.ConnectFailedError, connection.LostError) as exc:
             self._pool.retire()
             raise self._error(exc) from exc
+        except TimeoutError as exc:
+            self._pool.retire()
+            raise errors.SilentPlatformError(
+                address=self._address, reason=f'no answer in {timeout_s} s'
+            ) from exc
         except OSError as exc:
             self._pool.retire()
             raise self._error(f'{exc!r}') from exc
@@ -263,8 +269,10 @@
 
         Raises
         ======
+        errors.SilentPlatformError
+            If the store did not answer in time.
         errors.PlatformError
-            If the store did not answer.
+            If the call failed otherwise.
         HistoryExpiredError
             If the whole table has to be read again.
         """
--- a/ebonypick/process/_steering_settings.py
+++ b/ebonypick/process/_steering_settings.py
@@ -42,6 +42,8 @@
         Time between the stop signal and the kill of the process.
     lookup_ttl : str
         Maximum time that a caller may cache the answer to a look-up.
+    contact : str
+        Time that a host has to recover its contacts after a disturbance.
     repeat_ratio : float
         Maximum ratio of repeats to requests, over all hosts.
     repeat_window : str
@@ -52,6 +54,7 @@
 
     grace: Span = '6s'
     lookup_ttl: Span = '5s'
+    contact: Span = '3s'
     repeat_ratio: float = 0.1
     repeat_window: Span = '10s'
     repeat_slack: float = 10
--- a/ebonypick/process/_store_view.py
+++ b/ebonypick/process/_store_view.py
@@ -11,6 +11,7 @@
 from ebonypick.process import _row_broadcast
 from ebonypick.process import _row_order
 from ebonypick.process import _table_follower
+from ebonypick import spans
 
 # An operator writes the rows that a restored older copy lacks again within
 # two seconds. A row that is not written again, such as the evacuation of a
@@ -36,18 +37,23 @@
         self._skipped = {}
         self._config_data = None
         self._config_era = 0
+        watch_s = _table_follower.watch_timeout_s(
+            spans.parse_span_s(node.settings.terms.contact)
+        )
         self.followers = {
             platform.OPERATOR_TABLE: self._follow(
                 platform.OPERATOR_TABLE,
                 self._apply_operator_rows,
                 retention_s=OPERATOR_RETENTION_S,
                 is_later=_row_order.operator_row_later,
+                watch_s=watch_s,
             ),
             platform.SERVER_TABLE: self._follow(
                 platform.SERVER_TABLE,
                 self._apply_server_rows,
                 retain_lapsed=True,
                 is_later=_row_order.server_row_later,
+                watch_s=watch_s,
             ),
             platform.HOST_TABLE: self._follow(
                 platform.HOST_TABLE,
--- a/ebonypick/process/_table_follower.py
+++ b/ebonypick/process/_table_follower.py
@@ -18,9 +18,13 @@
 from ebonypick.process import _row_messages
 from ebonypick.process import _table_rows
 
-# Length of a long poll. Long polls need few calls, but the wait has to be
-# shorter than the delay that a silent connection may cause.
+# Upper limit of the wait of a long poll.
 WATCH_TIMEOUT_S = 4.0
+# Lower limit, which bounds the number of calls.
+MIN_WATCH_TIMEOUT_S = 0.5
+# Time that one more call on a new connection, and the broadcast of its rows
+# to other hosts over silent connections, may take.
+SPREAD_S = 1.0
 # Pause after an update, so that changes in quick succession are read at once.
 COALESCE_S = 0.25
 INITIAL_RETRY_S = 0.3
@@ -43,6 +47,27 @@
 MIN_EXPIRY_WAIT_S = 0.1
 
 
+def watch_timeout_s(contact_s):
+    """Return the wait of a long poll that keeps hosts informed in time.
+
+    The open connections of all hosts may go silent just after their long
+    polls were sent. Hosts notice it when these time out, and have to be
+    informed again within ``contact_s``.
+
+    Examples
+    ========
+    >>> round(watch_timeout_s(3.0), 2), watch_timeout_s(60.0)
+    (1.2, 4.0)
+
+    Parameters
+    ==========
+    contact_s : float
+        Time in seconds that hosts have to recover from a disturbance.
+    """
+    wait_s = contact_s - platform.FEED_MARGIN_S - SPREAD_S
+    return min(WATCH_TIMEOUT_S, max(MIN_WATCH_TIMEOUT_S, wait_s))
+
+
 class TableFollower:
     """Maintains the replica of one table and publishes each change.
 
@@ -68,6 +93,8 @@
     is_later : callable, optional
         Returns whether a row's contents show that the store's value was
         written after the earlier one (see ``TableRows``).
+    watch_s : float
+        The wait of a long poll in seconds.
     """
 
     def __init__(
@@ -80,6 +107,7 @@
         retain_lapsed=False,
         retention_s=RESTORE_HOLD_S,
         is_later=lambda key, old, new: False,
+        watch_s=WATCH_TIMEOUT_S,
     ):
         self._store = store
         self._table = table
@@ -88,6 +116,7 @@
         self._reads = reads
         self._retain_lapsed = retain_lapsed
         self._retention_s = retention_s
+        self._watch_s = watch_s
         self._rows = _table_rows.TableRows(table, retention_s, is_later)
         self._unavailable_since = None
         self._recovered_at = None
@@ -135,7 +164,7 @@
                     self._expire_retained()
                     continue
                 if known:
-                    known = await self._watch()
+                    known = await self._watch_through_silence()
                 else:
                     await self._read()
                     known = True
@@ -165,18 +194,38 @@
         self._publish(self.rows)
         await asyncio.sleep(COALESCE_S)
 
-    async def _watch(self):
+    async def _watch_through_silence(self):
+        """Do the same as ``_watch``, also if its connection is silent.
+
+        An open connection may go silent for good while new ones work, so the
+        changes since are requested once more before the store counts as
+        unavailable.
+        """
+        try:
+            return await self._watch(self._wait_s())
+        except errors.SilentPlatformError:
+            events.FEED_SILENT.log(
+                table=self._table,
+                revision=self.revision,
+                answer_age_s=self._answer_age_s(),
+            )
+            return await self._watch(0.0)
+
+    async def _watch(self, wait_s):
         """Wait for changes and apply them.
 
+        Parameters
+        ==========
+        wait_s : float
+            Longest time in seconds that the store waits for a change.
+
         Returns
         =======
         bool
             False where the store is in another era, so that the whole table
             has to be read again.
         """
-        state = await self._store.watch(
-            self._table, self.revision, self._wait_s()
-        )
+        state = await self._store.watch(self._table, self.revision, wait_s)
         self._note_recovered()
         if state.revision.era != self.revision.era:
             return False
@@ -190,9 +239,9 @@
     def _wait_s(self):
         until = self._rows.retained_until
         if until is None:
-            return WATCH_TIMEOUT_S
+            return self._watch_s
         return min(
-            WATCH_TIMEOUT_S, max(MIN_EXPIRY_WAIT_S, until - time.monotonic())
+            self._watch_s, max(MIN_EXPIRY_WAIT_S, until - time.monotonic())
         )
 
     def _note_unavailable(self, exc):
