Count a departure for the start of a server that announced it

What is at stake: a request reaches a server that told this host that it leaves (DRAIN).

Cause: a server may start again under its name. Its announcement was noted for the start whose row the host had; when the row of the later start, which had answered, arrived still ready, the server was chosen again, also by the hosts that had received the broadcast.

Change: a name has one live start at a time, so the announcement counts for all starts up to the time of day at which it was heard, and the broadcast carries that.

Ruled out: the order of registrations (a row's own count decides, as before), and later starts: a start after the announcement is used, which the same test checks.

Evidence: test_a_departure_counts_for_the_start_that_announced_it[9-False] failed before (the server was chosen again) and passes.

--- a/ebonypick/process/_row_broadcast.py
+++ b/ebonypick/process/_row_broadcast.py
@@ -64,7 +64,8 @@
     instance : str
         The server.
     started_ms : int
-        Time of the server's start in milliseconds since the epoch.
+        Time of the server's latest start that may have announced it, in
+        milliseconds since the epoch.
     names : tuple of str
         The hosts to which the receiver forwards the message.
     """
--- a/ebonypick/process/_server_attempt.py
+++ b/ebonypick/process/_server_attempt.py
@@ -211,11 +211,17 @@
     def _apply_answer(self, entry, head, failed):
         """Update the state of the server from the headers of its answer."""
         news = self._node.fleet.answered(
-            self._ticket, head, failed, time.monotonic()
+            self._ticket,
+            head,
+            failed,
+            time.monotonic(),
+            self._node.wall_clock.now_ms(),
         )
         req = self._job.head.req
-        if news.leaves:
-            self._node.store_view.note_server_leaving(entry, req)
+        if news.leaving_start_ms is not None:
+            self._node.store_view.note_server_leaving(
+                entry.instance, news.leaving_start_ms, req
+            )
         if news.limit is not None:
             self._node.note_limit(entry.instance, news.limit, 'an answer', req)
         if news.unreadable_limit is not None:
--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -21,6 +21,7 @@
 from ebonypick.process import _steering_settings
 from ebonypick.process import _store_view
 from ebonypick.process import _tasks
+from ebonypick.process import _wall_clock
 from ebonypick import request
 from ebonypick import spans
 
@@ -68,7 +69,8 @@
         self.metrics.limited_backends.set_function(
             lambda: self.fleet.limited_count
         )
-        self.started_ms = time.time_ns() // 1_000_000
+        self.wall_clock = _wall_clock.WallClock()
+        self.started_ms = self.wall_clock.now_ms()
         self.gossip = _gossip.GossipTask(
             self,
             _membership.Membership(
--- a/ebonypick/process/_store_view.py
+++ b/ebonypick/process/_store_view.py
@@ -184,21 +184,22 @@
         self._node.board.publish(hosts=_peer_directory.decode_rows(rows))
         self.host_rows.ensure_own_row()
 
-    def note_server_leaving(self, entry, req):
+    def note_server_leaving(self, instance, started_ms, req):
         """Note and broadcast that a server announced its own shutdown.
 
         Parameters
         ==========
-        entry : ServerEntry
+        instance : str
             The server.
+        started_ms : int
+            Its latest start that may have announced it, in milliseconds
+            since the epoch.
         req : str
             Identifier of the request whose answer announced it.
         """
-        self._note_leaving(entry.instance, 'an answer', req)
+        self._note_leaving(instance, 'an answer', req)
         self._node.tasks.start(
-            self.broadcaster.broadcast_leaving(
-                entry.instance, entry.started_ms
-            )
+            self.broadcaster.broadcast_leaving(instance, started_ms)
         )
 
     def receive_leaving(self, instance, started_ms, source):
--- a/ebonypick/request/_choice.py
+++ b/ebonypick/request/_choice.py
@@ -142,15 +142,16 @@
 
     Parameters
     ==========
-    leaves : bool
-        Whether this is the first notice that the server is leaving.
+    leaving_start_ms : int or None
+        On the first notice that the server is leaving: its latest start that
+        may have announced it, in milliseconds since the epoch.
     limit : LimitChange or None
         The change of its limit; None where the limit is as known.
     unreadable_limit : str or None
         A limit that cannot be read, unless the last one was the same.
     """
 
-    leaves: bool = False
+    leaving_start_ms: int | None = None
     limit: LimitChange | None = None
     unreadable_limit: str | None = None
 
--- a/ebonypick/request/_departure.py
+++ b/ebonypick/request/_departure.py
@@ -35,7 +35,8 @@
         instance : str
             The server.
         started_ms : int
-            Its start, in milliseconds since the epoch.
+            Its latest start that may be the one that is leaving, in
+            milliseconds since the epoch.
         """
         if self.includes(instance, started_ms):
             return False
--- a/ebonypick/request/_fleet.py
+++ b/ebonypick/request/_fleet.py
@@ -174,7 +174,7 @@
         if server.tickets.pop(ticket.number, None) is not None:
             self._service_times.note_ended(server, ticket, now)
 
-    def answered(self, ticket, head, failed, now):
+    def answered(self, ticket, head, failed, now, wall_ms=0):
         """Process the headers of an answer; call before ``ended``.
 
         Parameters
@@ -187,24 +187,37 @@
             Whether the answer reports a failure of the server.
         now : float
             Monotonic time in seconds.
+        wall_ms : int
+            Time of day in milliseconds since the epoch. A start up to then
+            may be the one that answered, though the row of an earlier start
+            is known.
 
         Returns
         =======
         AnswerNews
         """
         server = self._servers.get(ticket.instance)
-        departs = head.leaving and not head.other_instance
-        departs = departs and self.leaves(ticket.instance, ticket.started_ms)
+        left_ms = self._note_departure(ticket, head, wall_ms)
         if server is None or server.entry.started_ms != ticket.started_ms:
             # An answer of an earlier start says nothing about this one.
-            return _choice.AnswerNews(departs)
+            return _choice.AnswerNews(left_ms)
         self._update_server(server, ticket, head, failed, now)
         unreadable = head.unreadable_limit
         if unreadable == server.unreadable_limit:
             unreadable = None
         server.unreadable_limit = head.unreadable_limit
         change = self._note_limit(ticket, head)
-        return _choice.AnswerNews(departs, change, unreadable)
+        return _choice.AnswerNews(left_ms, change, unreadable)
+
+    def _note_departure(self, ticket, head, wall_ms):
+        """Return the latest start that leaves, if the departure is news."""
+        if not head.leaving or head.other_instance:
+            return None
+        if self._departures.includes(ticket.instance, ticket.started_ms):
+            return None
+        latest_ms = max(ticket.started_ms, wall_ms)
+        self.leaves(ticket.instance, latest_ms)
+        return latest_ms
 
     def _note_limit(self, ticket, head):
         change = self._admission.note_answer(ticket, head)
@@ -297,7 +310,8 @@
         instance : str
             The server.
         started_ms : int
-            The start that is leaving, in milliseconds since the epoch.
+            The latest start that may be the one that is leaving, in
+            milliseconds since the epoch.
 
         Returns
         =======
--- a/ebonypick/request/tests/test_departure.py
+++ b/ebonypick/request/tests/test_departure.py
@@ -38,9 +38,9 @@
     return fleet.choose(_ask(), now).entry.instance
 
 
-def _answer(fleet, instance, head, now, failed=False):
+def _answer(fleet, instance, head, now, failed=False, **more):
     ticket = fleet.sent(instance, 'k', now)
-    fleet.answered(ticket, head, failed, now)
+    fleet.answered(ticket, head, failed, now, **more)
     fleet.ended(ticket, now)
 
 
@@ -87,6 +87,35 @@
     assert home in _served(fleet, 3.0)
 
 
+@pytest.mark.parametrize('started_ms, used', [(9, False), (21, True)])
+def test_a_departure_counts_for_the_start_that_announced_it(started_ms, used):
+    """The row of that start arrives after its announcement."""
+    fleet = _fleet()
+    home = _home(fleet)
+    _answer(fleet, home, LEAVING, 1.0, wall_ms=20)
+    fleet.update(
+        [
+            dataclasses.replace(e, started_ms=started_ms)
+            if e.instance == home
+            else e
+            for e in ENTRIES
+        ],
+        2.0,
+    )
+    assert (home in _served(fleet, 3.0)) is used
+
+
+def test_an_announcement_is_news_once():
+    fleet = _fleet()
+    home = _home(fleet)
+    tickets = [fleet.sent(home, 'k', 1.0) for _ in range(2)]
+    found = [
+        fleet.answered(ticket, LEAVING, False, 1.1, wall_ms=20 + number)
+        for number, ticket in enumerate(tickets)
+    ]
+    assert [news.leaving_start_ms for news in found] == [20, None]
+
+
 def test_a_departure_reported_by_another_host_counts():
     fleet = _fleet()
     home = _home(fleet)
