Keep a hold-off and a limit for the start of a server that named them

What an answer said was kept for the start whose row the host had, and dropped when the row of the later start arrived, which had given the answer.

Change: a registration whose start is not after the last answer of the instance is one of the start that answered; its state continues. A start after the last answer begins anew, as before.

--- a/ebonypick/request/_admission.py
+++ b/ebonypick/request/_admission.py
@@ -84,6 +84,20 @@
         self._limits.retain(entries)
         self._shares = {}
 
+    def adopt_start(self, entry, from_ms):
+        """Keep the limit of a server for another start than was known.
+
+        Parameters
+        ==========
+        entry : ServerEntry
+            The registration of the start that named the limit.
+        from_ms : int
+            The start that the limit was noted for, in milliseconds since the
+            epoch.
+        """
+        self._limits.adopt_start(entry.instance, from_ms, entry.started_ms)
+        self._shares.pop(entry.instance, None)
+
     # Cold servers.
 
     def is_cold_sender(self, server):
--- a/ebonypick/request/_fleet.py
+++ b/ebonypick/request/_fleet.py
@@ -80,11 +80,12 @@
         for entry in entries:
             region = self._regions.get(entry.data_centre, '')
             known = self._servers.get(entry.instance)
-            restarted = known is not None and (
-                known.entry.started_ms != entry.started_ms
-                or known.entry.address != entry.address
-            )
-            if known is None or restarted:
+            if known is not None and _is_start_that_answered(known, entry):
+                self._admission.adopt_start(entry, known.entry.started_ms)
+                known.entry = dataclasses.replace(
+                    known.entry, started_ms=entry.started_ms
+                )
+            if known is None or _has_restarted(known, entry):
                 known = _server_state.ServerState(entry, region)
                 known.cold_until = now + entry.warmup_left_s
             elif known.entry != entry:
@@ -202,6 +203,8 @@
             # An answer of an earlier start says nothing about this one.
             return _choice.AnswerNews(left_ms)
         self._update_server(server, ticket, head, failed, now)
+        if not head.other_instance:
+            server.answered_ms = max(server.answered_ms, wall_ms)
         unreadable = head.unreadable_limit
         if unreadable == server.unreadable_limit:
             unreadable = None
@@ -363,3 +366,23 @@
         server.cold_until = max(
             server.cold_until, now + pause_s + REGISTRATION_DELAY_S
         )
+
+
+def _has_restarted(server, entry):
+    """Return whether a registration is one of another start of a server."""
+    return (
+        server.entry.started_ms != entry.started_ms
+        or server.entry.address != entry.address
+    )
+
+
+def _is_start_that_answered(server, entry):
+    """Return whether a new registration is of the start that answered.
+
+    A start that began before the last answer is the one that gave it, as an
+    instance has one live start at a time.
+    """
+    return (
+        server.entry.started_ms < entry.started_ms <= server.answered_ms
+        and server.entry.address == entry.address
+    )
--- a/ebonypick/request/_server_limits.py
+++ b/ebonypick/request/_server_limits.py
@@ -128,6 +128,14 @@
         self._known[instance] = found
         return found if found.per_s != known.per_s else None
 
+    def adopt_start(self, instance, from_ms, started_ms):
+        """Count what is known of a start for a later one."""
+        known = self._find(instance, from_ms)
+        if known is not None:
+            self._known[instance] = dataclasses.replace(
+                known, started_ms=started_ms
+            )
+
     def newest_first(self):
         """Return (server, ``ServerLimit``) of all servers, by last change."""
         return list(reversed(self._known.items()))
--- a/ebonypick/request/_server_state.py
+++ b/ebonypick/request/_server_state.py
@@ -40,6 +40,8 @@
         Monotonic time until which the server wants no requests from this host.
     unreadable_limit : str or None
         The limit in its last answer if it could not be read.
+    answered_ms : int
+        Time of day of the last answer, in milliseconds since the epoch.
     answered_at : float
         Monotonic time of the last answer.
     unanswered : int
@@ -57,6 +59,7 @@
     down_until: float = 0.0
     held_off_until: float = 0.0
     unreadable_limit: str | None = None
+    answered_ms: int = 0
     answered_at: float = float('-inf')
     unanswered: int = 0
 
--- a/ebonypick/request/tests/test_departure.py
+++ b/ebonypick/request/tests/test_departure.py
@@ -105,6 +105,30 @@
     assert (home in _served(fleet, 3.0)) is used
 
 
+@pytest.mark.parametrize('started_ms, kept', [(9, True), (21, False)])
+def test_a_hold_off_and_a_limit_count_for_the_start_that_named_them(
+    started_ms, kept
+):
+    """The row of that start arrives after its answer."""
+    fleet = _fleet()
+    home = _home(fleet)
+    head = request.AnswerHead('r', sealed=True, limit_per_s=0.5)
+    _answer(fleet, home, head, 1.0, wall_ms=20)
+    head = request.AnswerHead('r', not_run=True, hold_off_s=3.0)
+    _answer(fleet, home, head, 1.0, wall_ms=20)
+    fleet.update(
+        [
+            dataclasses.replace(e, started_ms=started_ms)
+            if e.instance == home
+            else e
+            for e in ENTRIES
+        ],
+        2.0,
+    )
+    assert (home not in _served(fleet, 3.0)) is kept
+    assert fleet.limited_count == kept
+
+
 def test_an_announcement_is_news_once():
     fleet = _fleet()
     home = _home(fleet)
