Refuse a server's row that does not say when the server started

Cause: a row without a start counted as start 0, so its departure, its limit and its order among the registrations were filed under a start that no server has. The users' pages let no row without it name a server.

Change: such a row is skipped and logged (EP1415), like other damaged rows. The row of two command-line tests gets a start, which real rows have; what they check is unchanged.

Evidence: test_an_invalid_server_entry_is_rejected with a start of null passed the row before and rejects it now.

--- a/ebonypick/cli/tests/test_steering_commands.py
+++ b/ebonypick/cli/tests/test_steering_commands.py
@@ -30,6 +30,7 @@
         'address': '10.0.0.9:8080',
         'info': {'service': 'registry', 'zone': 'a-1', 'slots': 3},
         'status': {'state': 'ready'},
+        'born': 1,
     }
     host = {
         'callers': '10.0.0.1:80',
--- a/ebonypick/platform/_entries.py
+++ b/ebonypick/platform/_entries.py
@@ -29,7 +29,7 @@
     info: _Info
     status: _Status
     # Start time of the server, in milliseconds since the epoch.
-    born: int | None = None
+    born: int
 
 
 def decode_server(name, data):
@@ -79,7 +79,7 @@
         warmup_left_s=_units.parse_span_s(
             entry.status.warmupLeft, f'servers/{name}.warmupLeft'
         ),
-        started_ms=entry.born or 0,
+        started_ms=entry.born,
         sequence=entry.status.sequence,
     )
 
--- a/ebonypick/platform/tests/test_decoding.py
+++ b/ebonypick/platform/tests/test_decoding.py
@@ -111,6 +111,7 @@
         {'status': {'state': 'unheard-of'}},
         {'status': {'state': 'ready', 'warmupLeft': 'soon'}},
         {'born': 'yesterday'},
+        {'born': None},
     ],
 )
 def test_an_invalid_server_entry_is_rejected(changes):
