Reproduce a request that crashes server after server in a failing test

Four hosts as processes; 20 servers crash 0.05 s after they begin to run one target, and are back under their names after 1.5 s.

--- a/standins/server_records.py
+++ b/standins/server_records.py
@@ -96,5 +96,7 @@
     garbage: int = 0
     fail: int = 0
     stall: int = 0
+    # Targets whose requests crash the server once it has begun to run them.
+    deadly: frozenset = frozenset()
     # Key of ``upstream.ENDLESS`` that each answer uses; empty for none.
     endless: str = ''
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -28,6 +28,11 @@
 # Interval at which a run checks whether its client closed the connection.
 CLIENT_CHECK_S = 0.01
 
+# A deadly request crashes the server after this time of work, and the server
+# is down for the second one.
+CRASH_AFTER_S = 0.05
+CRASH_DOWN_S = 1.5
+
 
 class Upstream:
     """A backend server; an async context manager.
@@ -67,6 +72,10 @@
         self.runs = []
         self.arrivals = []
         self.hold_offs = []
+        # Times at which a deadly request crashed the server, and what is
+        # called with the server when it is back.
+        self.crashed_at = []
+        self.on_return = lambda server: None
         self.connections = 0
         self.draining = False
         self.warmup_left_s = 0.0
@@ -124,6 +133,16 @@
         for task in list(self._tasks):
             task.cancel()
 
+    async def _crash_for_a_while(self):
+        """Crash and restart under the same name after CRASH_DOWN_S."""
+        if not self._server.is_serving():
+            return
+        self.crashed_at.append(time.monotonic())
+        await self.crash()
+        await asyncio.sleep(CRASH_DOWN_S)
+        await self.restart(self.instance)
+        self.on_return(self)
+
     async def restart(self, instance=None):
         """Restart at the same address, by default as a new instance."""
         await self.crash()
@@ -287,6 +306,10 @@
         )
         number = len(self.runs)
         self.runs.append(run)
+        if target in self.faults.deadly:
+            await self._work_for(CRASH_AFTER_S, reader)
+            asyncio.get_running_loop().create_task(self._crash_for_a_while())
+            await self._work_for(3600, reader)
         if self._consume_fault('hang'):
             await self._work_for(3600, reader)
         await self._work_for(self._work_time_s(headers), reader)
--- a/tests/steering_world.py
+++ b/tests/steering_world.py
@@ -144,6 +144,7 @@
         server = upstream.Upstream(service, centre, **more)
         await self._stack.enter_async_context(server)
         self.upstreams.append(server)
+        server.on_return = self.register
         self.register(server)
         return server
 
@@ -280,9 +281,13 @@
 
     # Callers.
 
-    async def call(self, session, name, kind, size=0, key=None):
-        """Send one request and record its result."""
-        req, key, target = self._draw(kind, key)
+    async def call(self, session, name, kind, size=0, key=None, target=None):
+        """Send one request and record its result.
+
+        Its target is drawn by default, as is its object.
+        """
+        req, key, drawn = self._draw(kind, key)
+        target = target or drawn
         body = (
             b''
             if steering_calls.is_safe(kind)
