Withhold requests that crash the servers which run them

Cause: a lost attempt was sent on to the next server, and after its end nothing was left of it, on no host.

Change: request/_quarantine.py. A request is identified by method, host, target, credentials and body. A connection that breaks without an answer, from a server that then refuses a new one, is a crash. After two, with no answer in between, all hosts withhold the request; one of them tries it once after 10 s, an answer clears it, a third crash ends the trials. Hosts merge records in gossip, and tell up to 16 hosts at once.

Ruled out: counting any broken connection (servers that reset or lose answers would have innocents withheld), withholding after one loss (each crash takes 5.6 requests with it).

--- a/ebonypick/connection/_server_pool.py
+++ b/ebonypick/connection/_server_pool.py
@@ -74,6 +74,18 @@
             If no connection could be opened, so that nothing was sent.
         """
         conn = self._pop_usable() or await self._open()
+        async with self._lent(conn):
+            yield conn
+
+    @contextlib.asynccontextmanager
+    async def new_connection(self):
+        """Do the same as ``connection``, but do not use an open one."""
+        async with self._lent(await self._open()) as conn:
+            yield conn
+
+    @contextlib.asynccontextmanager
+    async def _lent(self, conn):
+        """Yield a connection; then put it back or close it."""
         try:
             yield conn
         except BaseException:
--- a/ebonypick/errors.py
+++ b/ebonypick/errors.py
@@ -234,6 +234,15 @@
     remedy = 'Send it again after {retry_after_s} s.'
 
 
+class WithheldError(ServingError):
+    """The request crashed backend servers and is not sent to another one."""
+
+    code = 'EP2108'
+    retry_after_s = 60
+    message = 'The request is withheld: {crashes} servers crashed with it.'
+    remedy = 'Change the request, or mend the servers of the service first.'
+
+
 class DeadlineError(ServingError):
     """The deadline passed before the request was started."""
 
--- a/ebonypick/events.py
+++ b/ebonypick/events.py
@@ -309,6 +309,22 @@
     'header',
     'req',
 )
+BACKEND_CRASHED = define(
+    'EP1317',
+    'A backend server crashed while it ran a request.',
+    'backend',
+    'req',
+    'digest',
+    'crashes',
+)
+CRASHES_RECEIVED = define(
+    'EP1318',
+    'Another host reported that backend servers crashed with a request, or '
+    'that one answered it.',
+    'digest',
+    'crashes',
+    'source',
+)
 EVACUATION_CHANGED = define(
     'EP1312',
     'The set of evacuated data centres changed.',
--- a/ebonypick/platform/_headers.py
+++ b/ebonypick/platform/_headers.py
@@ -8,6 +8,7 @@
 
 _REQUEST_ID = 'attempt-id'
 _DEADLINE_MS = 'deadline-ms'
+_CALLER = 'authorization'
 _OBJECT_COOKIE = 'affinity-key'
 _EXPECTED_INSTANCE = 'expect-instance'
 _NOT_RUN = 'not-executed'
@@ -68,6 +69,7 @@
         host=headers.get('host', ''),
         deadline_s=_parse_ms(headers.get(_DEADLINE_MS, '')),
         object_key=_object_key(headers),
+        caller=headers.get(_CALLER, ''),
     )
 
 
--- a/ebonypick/process/_attempt_series.py
+++ b/ebonypick/process/_attempt_series.py
@@ -64,7 +64,9 @@
     async def _run_attempts(self):
         last = None
         while True:
-            choice = self._node.fleet.choose(self._ask(), time.monotonic())
+            choice = self._node.fleet.choose(
+                self._ask(self._is_suspect()), time.monotonic()
+            )
             if choice.passed_limited:
                 self._node.metrics.passed_limited.labels(
                     self._job.service
@@ -88,7 +90,23 @@
             if not self._job.body.repeatable:
                 raise self._final_error(last)
 
-    def _ask(self):
+    def _is_suspect(self):
+        """Return whether a server crashed with the request.
+
+        Raises
+        ======
+        errors.WithheldError, errors.UnknownOutcomeError
+            If it must not be sent to another server; the second one if a
+            server may have run it.
+        """
+        try:
+            return self._node.crashes.is_suspect(self._job)
+        except errors.WithheldError as exc:
+            if not self._may_have_run:
+                raise
+            raise errors.UnknownOutcomeError(reason=exc.detail) from exc
+
+    def _ask(self, suspect):
         job = self._job
         return request.Ask(
             job.service,
@@ -99,6 +117,7 @@
             frozenset(attempt.instance for attempt in self._attempts),
             job.route.kind is version.RequestKind.UPLOAD,
             job.route.objective_s,
+            suspect,
         )
 
     def _may_repeat(self):
--- a/ebonypick/process/_body.py
+++ b/ebonypick/process/_body.py
@@ -72,6 +72,11 @@
         if announced is not None and announced != self._size:
             raise errors.BodyLengthError(found=self._size, announced=announced)
 
+    @property
+    def start(self):
+        """The part of the body that ``read_start`` has read."""
+        return self._start
+
     @property
     def repeatable(self):
         """Whether the body can be sent from its beginning, also repeatedly."""
--- a/ebonypick/process/_entry_host.py
+++ b/ebonypick/process/_entry_host.py
@@ -15,6 +15,7 @@
 from ebonypick.process import _board
 from ebonypick.process import _config_reader
 from ebonypick.process import _control
+from ebonypick.process import _crash_reports
 from ebonypick.process import _gossip
 from ebonypick.process import _host_connections
 from ebonypick.process import _layouts
@@ -49,6 +50,7 @@
         self.host = settings.host
         self.board = _board.Board()
         self.metrics = _metrics.Metrics()
+        self.crashes = _crash_reports.NoCrashReports()
         self.ledger = request.ClaimLedger(
             settings.host, uuid.uuid4().hex[:10], time.monotonic()
         )
--- a/ebonypick/process/_gossip.py
+++ b/ebonypick/process/_gossip.py
@@ -1,6 +1,7 @@
 """The task that exchanges membership messages with other entry hosts."""
 
 import asyncio
+import random
 import time
 
 import msgspec
@@ -15,6 +16,9 @@
 BYTES_PER_S = 4_500
 HEAD_BYTES = 220
 SMOOTHING = 0.2
+# Number of hosts to which urgent news are sent at once; the next rounds carry
+# them to the others.
+SPREAD_FANOUT = 16
 
 
 class GossipTask:
@@ -78,6 +82,7 @@
             time.monotonic(),
             self._node.table_revisions(),
             self._node.limits_to_send(),
+            self._node.crashes.to_send(),
         )
         return msgspec.json.encode(message)
 
@@ -89,6 +94,7 @@
         self._node.receive_revisions(message.revisions, source)
         self._node.receive_platform_time(message.platform_s)
         self._node.receive_limits(message.limits, source)
+        self._node.crashes.receive(message.crashes, source)
         self._publish()
 
     def _publish(self):
@@ -145,6 +151,12 @@
             )
         )
 
+    def spread(self):
+        """Exchange messages with some hosts now, ahead of the next round."""
+        names = list(self._node.connections.peers)
+        for name in random.sample(names, min(SPREAD_FANOUT, len(names))):
+            self._node.tasks.start(self._exchange(name))
+
     async def _exchange(self, name):
         peer = self._node.connections.peer(name)
         if peer is None:
--- a/ebonypick/process/_gossip_messages.py
+++ b/ebonypick/process/_gossip_messages.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ebonypick import platform
+from ebonypick import request
 
 
 class HostRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -91,6 +92,26 @@
     per_s: typing.Annotated[float, msgspec.Meta(ge=0.0)] | None
 
 
+class CrashMessage(msgspec.Struct, frozen=True, array_like=True):
+    """What the sender knows of a request that servers crashed with.
+
+    Parameters
+    ==========
+    digest : str
+        The request.
+    turn : int
+        Number of times that an answer cleared it.
+    crashed : tuple of str
+        The starts of servers that crashed with it since then.
+    """
+
+    digest: typing.Annotated[str, msgspec.Meta(max_length=64)]
+    turn: typing.Annotated[int, msgspec.Meta(ge=0)]
+    crashed: typing.Annotated[
+        tuple[str, ...], msgspec.Meta(max_length=2 * request.MAX_CRASHES)
+    ]
+
+
 class Message(msgspec.Struct, frozen=True, array_like=True):
     """A gossip message from one entry host to another.
 
@@ -112,6 +133,8 @@
         store.
     limits : tuple of LimitRecord
         Some of the limits of backend servers that the sender knows.
+    crashes : tuple of CrashMessage
+        Some of the requests that servers crashed with.
     """
 
     sender: str
@@ -122,3 +145,4 @@
     centres: tuple[CentreRecord, ...]
     revisions: dict[str, platform.Revision] = {}
     limits: tuple[LimitRecord, ...] = ()
+    crashes: tuple[CrashMessage, ...] = ()
--- a/ebonypick/process/_membership.py
+++ b/ebonypick/process/_membership.py
@@ -242,7 +242,14 @@
         return [received.record for received in fresh]
 
     def message(
-        self, to_centre, version, platform_s, now, revisions=None, limits=()
+        self,
+        to_centre,
+        version,
+        platform_s,
+        now,
+        revisions=None,
+        limits=(),
+        crashes=(),
     ):
         """Return the message to a host of a data centre."""
         hosts = (self._own_record(),) if self.leaving else ()
@@ -263,6 +270,7 @@
             tuple(centres),
             revisions or {},
             limits,
+            crashes,
         )
 
     def receive(self, message, now):
--- a/ebonypick/process/_metrics.py
+++ b/ebonypick/process/_metrics.py
@@ -44,6 +44,18 @@
             ['service'],
             registry=self.registry,
         )
+        self.withheld_requests = prometheus_client.Gauge(
+            'ebonypick_withheld_requests',
+            'Different requests that are withheld, as servers crashed with '
+            'them.',
+            registry=self.registry,
+        )
+        self.withheld = prometheus_client.Counter(
+            'ebonypick_withheld',
+            'Requests of callers that were withheld.',
+            ['service'],
+            registry=self.registry,
+        )
         self.hedges = prometheus_client.Counter(
             'ebonypick_hedges',
             'Reads that were sent a second time.',
--- a/ebonypick/process/_server_attempt.py
+++ b/ebonypick/process/_server_attempt.py
@@ -1,6 +1,8 @@
 """One attempt to send a steering host's request to a backend server."""
 
+import asyncio
 import dataclasses
+import functools
 import time
 
 from ebonypick import connection
@@ -8,6 +10,9 @@
 from ebonypick import platform
 from ebonypick import request
 
+# Time to find out whether a server whose connection broke has crashed: one
+# round trip to another region, with a margin.
+CRASH_CHECK_S = 0.3
 BODYLESS_METHODS = frozenset({'GET', 'HEAD', 'DELETE', 'OPTIONS'})
 
 
@@ -41,6 +46,18 @@
     body: object
     end_at: float
 
+    @functools.cached_property
+    def digest(self):
+        """What identifies the request when a caller sends it again."""
+        return request.fingerprint(
+            self.req.method.encode(),
+            self.head.host.encode(errors='surrogateescape'),
+            self.req.target.encode(errors='surrogateescape'),
+            self.head.caller.encode(errors='surrogateescape'),
+            self.body.start,
+            str(self.req.content_length).encode(),
+        )
+
     @property
     def object_key(self):
         """The object key of the request; None if its route is not sticky."""
@@ -115,6 +132,7 @@
             choice.entry.instance, job.object_key, self._sent_at
         )
         self.sent = False
+        self._answered = False
         # HTTP status sent to the caller by this attempt; 0 if none was sent.
         self.status = 0
 
@@ -142,6 +160,8 @@
             result = AttemptResult(request.Outcome.UNKNOWN, str(exc))
         except connection.LostError as exc:
             result = AttemptResult(request.Outcome.UNKNOWN, str(exc))
+            if self.sent and not self._answered:
+                await self._note_if_crashed(entry)
         finally:
             fleet.ended(self._ticket, time.monotonic())
         if not result.final:
@@ -151,6 +171,20 @@
         ).inc()
         return result
 
+    async def _note_if_crashed(self, entry):
+        """Record a crash if the server also refuses new connections."""
+        try:
+            async with asyncio.timeout(CRASH_CHECK_S):
+                async with self._node.pool(entry).new_connection():
+                    return
+        except connection.ConnectFailedError as exc:
+            if isinstance(exc.__cause__, ConnectionRefusedError):
+                self._node.fleet.unreachable(entry.instance, time.monotonic())
+                self._node.crashes.note_crash(self._job, entry)
+        except TimeoutError:
+            # A server that is cut off does not refuse connections.
+            return
+
     def _log_sent(self):
         events.SENT.log(
             req=self._job.head.req,
@@ -193,6 +227,7 @@
             self.sent = True
             await self._send(conn, entry)
             answer = await conn.head()
+            self._answered = True
             head = platform.answer_head(answer.status, answer.by_name)
             start, whole = await conn.read_start()
             failed = answer.status >= 500 and not head.not_run
@@ -217,6 +252,8 @@
             time.monotonic(),
             self._node.wall_clock.now_ms(),
         )
+        if not head.not_run:
+            self._node.crashes.note_answer(self._job)
         req = self._job.head.req
         if news.leaving_start_ms is not None:
             self._node.store_view.note_server_leaving(
--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -10,6 +10,7 @@
 from ebonypick import events
 from ebonypick import platform
 from ebonypick.process import _board
+from ebonypick.process import _crash_reports
 from ebonypick.process import _forward
 from ebonypick.process import _gossip
 from ebonypick.process import _gossip_messages
@@ -66,6 +67,7 @@
             settings.data_centres,
             self._rng,
         )
+        self.crashes = _crash_reports.CrashReports(self, self._rng)
         self.metrics.limited_backends.set_function(
             lambda: self.fleet.limited_count
         )
@@ -164,6 +166,8 @@
             self.fleet.set_hosts(
                 self.roster.serving(), self.connections.centres()
             )
+            live = self.roster.live().values()
+            self.crashes.set_hosts(name for names in live for name in names)
             await changed
 
     # Methods that gossip calls.
--- a/ebonypick/process/tests/test_malformed_messages.py
+++ b/ebonypick/process/tests/test_malformed_messages.py
@@ -11,6 +11,7 @@
 import pytest
 
 from ebonypick import errors
+from ebonypick.process import _crash_reports
 from ebonypick.process import _gossip
 from ebonypick.process import _log_sink
 from ebonypick.process import _membership
@@ -54,6 +55,7 @@
         receive_platform_time=lambda *_: None,
         receive_limits=lambda *_: None,
         limits_to_send=tuple,
+        crashes=_crash_reports.NoCrashReports(),
     )
     membership = _membership.Membership('h', 'dc', 1, random.Random(1))
     return _gossip.GossipTask(node, membership).receive(data)
--- a/ebonypick/request/__init__.py
+++ b/ebonypick/request/__init__.py
@@ -40,6 +40,10 @@
 from ebonypick.request._policy import make_policy
 from ebonypick.request._policy import policies
 from ebonypick.request._policy import Target
+from ebonypick.request._quarantine import CrashRecord
+from ebonypick.request._quarantine import fingerprint
+from ebonypick.request._quarantine import MAX_CRASHES
+from ebonypick.request._quarantine import Quarantine
 from ebonypick.request._rank import rendezvous
 from ebonypick.request._rank import weighted_rendezvous
 from ebonypick.request._retry_limit import RepeatLimit
@@ -61,6 +65,8 @@
     'Ask',
     'CallerHead',
     'Chosen',
+    'ClaimLedger',
+    'CrashRecord',
     'Dispatcher',
     'EntryHostChoice',
     'Finished',
@@ -74,15 +80,17 @@
     'LinkBudget',
     'Load',
     'LoadReport',
+    'MAX_CRASHES',
+    'NoSlot',
     'Offer',
-    'ClaimLedger',
     'Outcome',
     'OwnerPlace',
     'OwnerSettings',
     'Placed',
+    'Quarantine',
     'Queued',
     'Record',
-    'NoSlot',
+    'Rejected',
     'RepeatLimit',
     'RepeatTerms',
     'Report',
@@ -97,10 +105,10 @@
     'SlotOwner',
     'Target',
     'Ticket',
-    'Rejected',
     'Verdict',
     'WeightedRoundRobin',
     'expected_s',
+    'fingerprint',
     'judge',
     'look_up',
     'make_policy',
--- a/ebonypick/request/_fleet.py
+++ b/ebonypick/request/_fleet.py
@@ -9,6 +9,7 @@
 from ebonypick.request import _departure
 from ebonypick.request import _preference
 from ebonypick.request import _retry_after
+from ebonypick.request import _sample
 from ebonypick.request import _selection
 from ebonypick.request import _server_state
 from ebonypick.request import _service_times
@@ -276,12 +277,9 @@
         =======
         list of (str, ServerLimit)
         """
-        rows = self._admission.known_limits()
-        if len(rows) <= count:
-            return rows
-        newest = count // 2
-        rest = self._rng.sample(rows[newest:], count - newest)
-        return rows[:newest] + rest
+        return _sample.newest_and_others(
+            self._admission.known_limits(), count, self._rng
+        )
 
     def _update_server(self, server, ticket, head, failed, now):
         """Update the state of the current start of a server."""
--- a/ebonypick/request/_server.py
+++ b/ebonypick/request/_server.py
@@ -75,12 +75,15 @@
         Time in seconds that the caller will wait.
     object_key : str or None
         The key of the object that the request concerns.
+    caller : str
+        What the caller identifies itself by; empty where it does not.
     """
 
     req: str | None
     host: str
     deadline_s: float | None
     object_key: str | None
+    caller: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
