Send no request on a connection that has carried its id

Here an answer is told by the id of its request, so a repeated refusal of another request is dropped (test_a_repeated_refusal_of_another_request_is_ dropped passes before and after). It could happen where a caller sends a refused request again with the same id and it meets the same connection: the repeated refusal could not be told from an answer to the second attempt.

Change: a connection remembers the last 16 ids, and a pool does not give it out for a request with one of them.

Evidence: test_a_repeated_refusal_is_not_taken_for_that_of_the_same_id fails on the code before, whose pool knows no ids, and passes.

--- a/ebonypick/connection/_exchange.py
+++ b/ebonypick/connection/_exchange.py
@@ -56,6 +56,9 @@
 # The connection is closed after more than this many interim answers and
 # answers to other requests.
 MAX_UNEXPECTED_ANSWERS = 16
+# Number of requests whose ids a connection remembers. Later answers to
+# earlier ones are still recognised, unless the same id is sent once more.
+MAX_CARRIED_IDS = 16
 
 
 @dataclasses.dataclass(frozen=True)
@@ -110,6 +113,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._idle_timeout_s = DEFAULT_IDLE_S
+        self._carried = collections.deque(maxlen=MAX_CARRIED_IDS)
 
     # Transport callbacks.
 
@@ -295,6 +299,15 @@
             and time.monotonic() < self.idle_until
         )
 
+    def has_carried(self, req):
+        """Return whether a recent request had an id; false for None."""
+        return req is not None and req in self._carried
+
+    def carry(self, req):
+        """Remember the id of the request to send, unless it is None."""
+        if req is not None:
+            self._carried.append(req)
+
     def start(self, data, is_expected, head_only):
         """Send the first bytes of a request and start to await its answer.
 
--- a/ebonypick/connection/_server_pool.py
+++ b/ebonypick/connection/_server_pool.py
@@ -40,13 +40,24 @@
         while self._idle:
             self._idle.pop().abort()
 
-    def _pop_usable(self):
-        while self._idle:
+    def _pop_usable(self, req):
+        """Return an idle connection that has not carried a request, or None.
+
+        A server may repeat its answer to the earlier attempt, which has the
+        same id.
+        """
+        carried = []
+        found = None
+        while self._idle and found is None:
             conn = self._idle.pop()
-            if conn.usable:
-                return conn
-            conn.abort()
-        return None
+            if not conn.usable:
+                conn.abort()
+            elif conn.has_carried(req):
+                carried.append(conn)
+            else:
+                found = conn
+        self._idle.extend(reversed(carried))
+        return found
 
     async def _open(self):
         loop = asyncio.get_running_loop()
@@ -62,18 +73,25 @@
         return conn
 
     @contextlib.asynccontextmanager
-    async def connection(self):
+    async def connection(self, req=None):
         """Return a context manager that yields a connection.
 
         On exit the connection returns to the pool if its answer was read to
         the end. Otherwise it is closed at once.
 
+        Parameters
+        ==========
+        req : str, optional
+            The id of the request to send. It is not sent on a connection that
+            has carried a request with the same id.
+
         Raises
         ======
         connection.ConnectFailedError
             If no connection could be opened, so that nothing was sent.
         """
-        conn = self._pop_usable() or await self._open()
+        conn = self._pop_usable(req) or await self._open()
+        conn.carry(req)
         async with self._lent(conn):
             yield conn
 
--- a/ebonypick/connection/tests/test_exchange.py
+++ b/ebonypick/connection/tests/test_exchange.py
@@ -15,6 +15,8 @@
 )
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 CUT = OURS[:-2]
+REFUSED = b'HTTP/1.1 503 Full\r\nid: a\r\ncontent-length: 0\r\n\r\n'
+REFUSED_OTHER = REFUSED.replace(b'id: a', b'id: b')
 TIMEOUT_S = 5
 
 
@@ -50,8 +52,8 @@
                 return
 
 
-async def _send_request(pool):
-    async with pool.connection() as conn:
+async def _send_request(pool, req=None):
+    async with pool.connection(req) as conn:
         data = connection.request_bytes('GET', '/', [('host', 'x')], None)
         conn.start(data, lambda _, names: names.get('id') == 'a', False)
         answer = await conn.head()
@@ -59,7 +61,7 @@
         return answer.status, body, ended
 
 
-def _send_requests(script, count=1, pause_s=0.0):
+def _send_requests(script, count=1, pause_s=0.0, req=None):
     """Send ``count`` requests in sequence; return answers or errors."""
 
     async def run():
@@ -71,7 +73,7 @@
             for _ in range(count):
                 try:
                     async with asyncio.timeout(TIMEOUT_S):
-                        found.append(await _send_request(pool))
+                        found.append(await _send_request(pool, req))
                 except connection.LostError as exc:
                     found.append(exc)
                 await asyncio.sleep(pause_s)
@@ -127,6 +129,24 @@
     assert script.connections == 1
 
 
+def test_a_repeated_refusal_of_another_request_is_dropped():
+    script = _ScriptedServer((OURS, 'keep'), (REFUSED_OTHER + OURS, 'keep'))
+    found = _send_requests(script, count=2)
+    assert found == [(200, b'ours', True)] * 2
+
+
+def test_a_repeated_refusal_is_not_taken_for_that_of_the_same_id():
+    """A caller sends its refused request again, with the same id.
+
+    The server repeats its refusal on the old connection, on which it could
+    not be told from an answer to the second attempt.
+    """
+    script = _ScriptedServer((REFUSED, 'keep'), (OURS, 'keep'))
+    found = _send_requests(script, count=2, req='a')
+    assert [status for status, *_ in found] == [503, 200]
+    assert script.connections == 2
+
+
 def test_connections_are_reused():
     script = _ScriptedServer(*[(OURS, 'keep')] * 3)
     assert len(_send_requests(script, count=3)) == 3
--- a/ebonypick/process/_server_attempt.py
+++ b/ebonypick/process/_server_attempt.py
@@ -217,7 +217,8 @@
         return False
 
     async def _exchange(self, entry):
-        async with self._node.pool(entry).connection() as conn:
+        pool = self._node.pool(entry)
+        async with pool.connection(self._job.head.req) as conn:
             if self._node.fleet.withholds(self._ticket, time.monotonic()):
                 return AttemptResult(
                     request.Outcome.NOT_RUN,
