Refuse unsent what cannot end before a planned stop does

Cause: a stopping host takes what its open connections still bring and starts it, whatever time it needs.

Change: an attempt starts only if twice the usual time of the service is left; else 503 with Retry-After of 0.05 s, since another host can take the request, or 502 where an earlier attempt may have run.

Ruled out: refusing everything from SIGTERM on (callers that look up late would be turned away for seconds in which all their requests could end).

--- a/ebonypick/process/_attempt_series.py
+++ b/ebonypick/process/_attempt_series.py
@@ -10,6 +10,8 @@
 # Minimum time left for a repeated attempt, as a share of the usual service
 # time. An attempt with less time left is not worth a slot.
 MIN_REPEAT_SHARE = 0.5
+# Retry-After of a request that another host can take at once.
+OTHER_HOST_RETRY_S = 0.05
 
 
 class AttemptSeries:
@@ -56,7 +58,7 @@
         """
         try:
             return await self._run_attempts()
-        except (errors.UnknownOutcomeError, errors.RequestRejectedError):
+        except (errors.UnknownOutcomeError, errors.ServingError):
             if self.failure is None:
                 raise
             return self.failure
@@ -64,6 +66,7 @@
     async def _run_attempts(self):
         last = None
         while True:
+            self._check_time()
             choice = self._node.fleet.choose(
                 self._ask(self._is_suspect()), time.monotonic()
             )
@@ -90,6 +93,23 @@
             if not self._job.body.repeatable:
                 raise self._final_error(last)
 
+    def _check_time(self):
+        """Reject a request that would outlast the planned stop of this host.
+
+        Raises
+        ======
+        errors.NotReadyError, errors.UnknownOutcomeError
+            The second one if a server may have run the request.
+        """
+        if self._node.has_time_for(self._job.service):
+            return
+        reason = 'it stops before the request could end'
+        if self._may_have_run:
+            raise errors.UnknownOutcomeError(reason=reason)
+        raise errors.NotReadyError(
+            reason=reason, retry_after_s=OTHER_HOST_RETRY_S
+        )
+
     def _is_suspect(self):
         """Return whether a server crashed with the request.
 
--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -37,6 +37,9 @@
 # cut off.
 GRACE_MARGIN_S = 0.4
 STOP_POLL_S = 0.02
+# In a planned stop, a request is sent to a server only if this multiple of
+# its usual time is left, since it may have to wait as long as it runs.
+STOP_TIME_RATIO = 2.0
 # Limits of servers in one gossip message, some 40 bytes each.
 MAX_LIMIT_RECORDS = 12
 
@@ -60,6 +63,8 @@
         )
         self.leaving = False
         self.in_flight = 0
+        # Monotonic time at which a planned stop cuts off what still runs.
+        self._stop_at = float('inf')
         self._rng = random.Random(uuid.uuid4().int)
         self.fleet = request.Fleet(
             settings.host,
@@ -292,13 +297,18 @@
 
     # Planned stop and reload of the settings.
 
+    def has_time_for(self, service):
+        """Return whether a request of a service may end before a stop does."""
+        left_s = self._stop_at - time.monotonic()
+        return left_s > STOP_TIME_RATIO * self.fleet.work_s(service)
+
     async def stop(self):
         """Finish the requests in flight within the grace period."""
         events.PROCESS_LEAVING.log(
             host=self.settings.host, in_flight=self.in_flight
         )
         grace_s = spans.parse_span_s(self.settings.terms.grace)
-        end = time.monotonic() + grace_s - GRACE_MARGIN_S
+        end = self._stop_at = time.monotonic() + grace_s - GRACE_MARGIN_S
         self.leaving = True
         self.gossip.leave()
         self.tasks.start(self.gossip.announce())
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -150,6 +150,10 @@
         self._objects.clear()
         await self.__aenter__()
 
+    def set_work(self, work_s):
+        """Set the run time of requests for objects that are not cached."""
+        self._work_s = work_s
+
     def name_limit(self, per_s):
         """Name a limit of requests per second from now on; None ends it."""
         self.named_limits.append(
