Show that hosts tell each other of crashes, and cut each new mechanism

tests/test_deadly_requests.py passed without the messages between hosts, as each of four hosts had crashes of its own soon. A second scene lets one host have them and asks the others.

--- a/bin/prove_needed.py
+++ b/bin/prove_needed.py
@@ -41,6 +41,70 @@
 
 
 CUTS = (
+    Cut(
+        'versions and drains after connections go silent',
+        'feeds wait less than contact',
+        'ebonypick/process/_table_follower.py',
+        'return min(WATCH_TIMEOUT_S, max(MIN_WATCH_TIMEOUT_S, wait_s))',
+        'return WATCH_TIMEOUT_S',
+        ('tests/test_silent_store.py',),
+    ),
+    Cut(
+        'a server that leaves gets nothing new',
+        'an announcement counts for the start that made it',
+        'ebonypick/request/_fleet.py',
+        'latest_ms = max(ticket.started_ms, wall_ms)',
+        'latest_ms = ticket.started_ms',
+        ('ebonypick/request/tests/test_departure.py',),
+    ),
+    Cut(
+        'hold-offs and limits',
+        'a hold-off and a limit count for the start that named them',
+        'ebonypick/request/_fleet.py',
+        'server.entry.started_ms < entry.started_ms <= server.answered_ms',
+        'False',
+        ('ebonypick/request/tests/test_departure.py',),
+    ),
+    Cut(
+        'requests that crash servers',
+        'crashes are told to other hosts',
+        'ebonypick/process/_gossip.py',
+        'self._node.crashes.receive(message.crashes, source)',
+        'pass',
+        ('tests/test_deadly_requests.py',),
+    ),
+    Cut(
+        'requests that crash servers',
+        'one host makes the trial of a withheld request',
+        'ebonypick/request/_quarantine.py',
+        'return _rank.rendezvous(digest, self._hosts) == (self._host,)',
+        'return True',
+        ('ebonypick/request/tests/test_quarantine.py',),
+    ),
+    Cut(
+        'requests that crash servers',
+        'no host sends a convicted request',
+        'ebonypick/request/_quarantine.py',
+        'if len(known.record.crashed) >= CONVICTED_FROM:',
+        'if False:',
+        ('ebonypick/request/tests/test_quarantine.py',),
+    ),
+    Cut(
+        'outcomes are true',
+        'no connection carries the same id twice',
+        'ebonypick/connection/_server_pool.py',
+        'elif conn.has_carried(req):',
+        'elif False:',
+        ('ebonypick/connection/tests/test_exchange.py',),
+    ),
+    Cut(
+        'planned stops',
+        'what would outlast a planned stop is refused unsent',
+        'ebonypick/process/_steering_host.py',
+        'return left_s > STOP_TIME_RATIO * self.fleet.work_s(service)',
+        'return True',
+        ('tests/test_late_in_a_stop.py',),
+    ),
     Cut(
         'a store that comes back older',
         'rows of before are kept',
@@ -478,7 +542,7 @@
                 raise LookupError(f'{file}: {old!r} is not there once')
             path.write_text(text.replace(old, new))
         done = subprocess.run(
-            [sys.executable, '-m', 'pytest', '-x', '-q', *cut.tests],
+            [sys.executable, '-m', 'pytest', '-xq', '--tb=no', *cut.tests],
             cwd=folder,
             capture_output=True,
             text=True,
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -20,26 +20,27 @@
 SERVED_SHARE = 0.95
 
 
-async def _send_deadly_requests(world, session):
-    """Send the deadly request again and again, to all hosts in turn."""
+def _arm(world):
+    """Let the deadly request crash each server that runs it."""
     for server in world.upstreams:
         server.faults.deadly = frozenset({DEADLY})
+
+
+async def _send_deadly(world, session, name):
+    return await world.call(
+        session, name, 'read', key=DEADLY_KEY, target=DEADLY
+    )
+
+
+async def _send_deadly_requests(world, session):
+    """Send the deadly request again and again, to all hosts in turn."""
+    _arm(world)
     names = sorted(world.processes)
     tasks = []
     end = time.monotonic() + SECONDS
     while time.monotonic() < end:
         name = names[len(tasks) % len(names)]
-        tasks.append(
-            asyncio.create_task(
-                world.call(
-                    session,
-                    name,
-                    'read',
-                    key=DEADLY_KEY,
-                    target=DEADLY,
-                )
-            )
-        )
+        tasks.append(asyncio.create_task(_send_deadly(world, session, name)))
         await asyncio.sleep(PAUSE_S)
     return await asyncio.gather(*tasks)
 
@@ -72,3 +73,22 @@
     served = sum(call.status == 200 for call in others)
     assert served >= SERVED_SHARE * len(others)
     assert steering_calls.violations(world) == []
+
+
+def test_hosts_withhold_a_request_that_crashed_servers_of_another_host(
+    tmp_path,
+):
+    async def play(world, session):
+        _arm(world)
+        first, *others = sorted(world.processes)
+        await _send_deadly(world, session, first)
+        await asyncio.sleep(CONTACT_S)
+        calls = [await _send_deadly(world, session, name) for name in others]
+        return world, calls
+
+    world, calls = steering_world.run_scene(
+        tmp_path, SEED, play, hosts=2, servers=3
+    )
+    assert [call.status for call in calls] == [503] * len(calls)
+    sent = {a.req for s in world.upstreams for a in s.arrivals}
+    assert not sent & {call.req for call in calls}
