--- a/ebonypick/request/tests/test_departure.py
+++ b/ebonypick/request/tests/test_departure.py
@@ -24,6 +24,16 @@
 ENTRIES = tuple(_entry(number, started_ms=5) for number in range(4))
 
 
+def _entries_with_start(instance, started_ms):
+    """Return the entries, one of them with another start."""
+    return [
+        dataclasses.replace(entry, started_ms=started_ms)
+        if entry.instance == instance
+        else entry
+        for entry in ENTRIES
+    ]
+
+
 def _fleet(entries=ENTRIES):
     fleet = request.Fleet('h1', 'a1', REGIONS, random.Random(1))
     fleet.update(entries, 0.0)
@@ -75,15 +85,7 @@
     fleet = _fleet()
     home = _home(fleet)
     _answer(fleet, home, LEAVING, 1.0)
-    fleet.update(
-        [
-            dataclasses.replace(e, started_ms=e.started_ms + 1)
-            if e.instance == home
-            else e
-            for e in ENTRIES
-        ],
-        2.0,
-    )
+    fleet.update(_entries_with_start(home, ENTRIES[0].started_ms + 1), 2.0)
     assert home in _served(fleet, 3.0)
 
 
@@ -93,15 +95,7 @@
     fleet = _fleet()
     home = _home(fleet)
     _answer(fleet, home, LEAVING, 1.0, wall_ms=20)
-    fleet.update(
-        [
-            dataclasses.replace(e, started_ms=started_ms)
-            if e.instance == home
-            else e
-            for e in ENTRIES
-        ],
-        2.0,
-    )
+    fleet.update(_entries_with_start(home, started_ms), 2.0)
     assert (home in _served(fleet, 3.0)) is used
 
 
@@ -116,15 +110,7 @@
     _answer(fleet, home, head, 1.0, wall_ms=20)
     head = request.AnswerHead('r', not_run=True, hold_off_s=3.0)
     _answer(fleet, home, head, 1.0, wall_ms=20)
-    fleet.update(
-        [
-            dataclasses.replace(e, started_ms=started_ms)
-            if e.instance == home
-            else e
-            for e in ENTRIES
-        ],
-        2.0,
-    )
+    fleet.update(_entries_with_start(home, started_ms), 2.0)
     assert (home not in _served(fleet, 3.0)) is kept
     assert fleet.limited_count == kept
 
