Choose the server of a suspected request as that of any other

Hypothesis when it was built: an attempt after a crash does least harm at the least loaded server. It moves innocent requests from warm to cold servers and spares nothing, so it goes.

--- a/ebonypick/process/_attempt_series.py
+++ b/ebonypick/process/_attempt_series.py
@@ -67,9 +67,8 @@
         last = None
         while True:
             self._check_time()
-            choice = self._node.fleet.choose(
-                self._ask(self._is_suspect()), time.monotonic()
-            )
+            self._check_crashes()
+            choice = self._node.fleet.choose(self._ask(), time.monotonic())
             if choice.passed_limited:
                 self._node.metrics.passed_limited.labels(
                     self._job.service
@@ -110,23 +109,22 @@
             reason=reason, retry_after_s=OTHER_HOST_RETRY_S
         )
 
-    def _is_suspect(self):
-        """Return whether a server crashed with the request.
+    def _check_crashes(self):
+        """Reject a request that crashed too many servers.
 
         Raises
         ======
         errors.WithheldError, errors.UnknownOutcomeError
-            If it must not be sent to another server; the second one if a
-            server may have run it.
+            The second one if a server may have run the request.
         """
         try:
-            return self._node.crashes.is_suspect(self._job)
+            self._node.crashes.check(self._job)
         except errors.WithheldError as exc:
             if not self._may_have_run:
                 raise
             raise errors.UnknownOutcomeError(reason=exc.detail) from exc
 
-    def _ask(self, suspect):
+    def _ask(self):
         job = self._job
         return request.Ask(
             job.service,
@@ -137,7 +135,6 @@
             frozenset(attempt.instance for attempt in self._attempts),
             job.route.kind is version.RequestKind.UPLOAD,
             job.route.objective_s,
-            suspect,
         )
 
     def _may_repeat(self):
--- a/ebonypick/process/_crash_reports.py
+++ b/ebonypick/process/_crash_reports.py
@@ -35,8 +35,8 @@
 
     # Methods that requests call.
 
-    def is_suspect(self, job):
-        """Return whether a server crashed with a request.
+    def check(self, job):
+        """Check that a request may be sent to a server.
 
         Raises
         ======
@@ -44,12 +44,12 @@
             If the request must not be sent to another server.
         """
         if self._quarantine.empty:
-            return False
-        crashes = self._quarantine.crashes(job.digest)
+            return
         if self._quarantine.withholds(job.digest, time.monotonic()):
             self._node.metrics.withheld.labels(job.service).inc()
-            raise errors.WithheldError(crashes=crashes)
-        return crashes > 0
+            raise errors.WithheldError(
+                crashes=self._quarantine.crashes(job.digest)
+            )
 
     def note_crash(self, job, entry):
         """Record that a server crashed while it ran a request."""
--- a/ebonypick/request/_choice.py
+++ b/ebonypick/request/_choice.py
@@ -25,8 +25,6 @@
         Whether its body is so long that its transfer costs more than a wait.
     objective_s : float
         Target latency of the service in seconds.
-    suspect : bool
-        Whether a server crashed with the request, which may happen again.
     """
 
     service: str
@@ -37,7 +35,6 @@
     tried: frozenset = frozenset()
     bulky: bool = False
     objective_s: float = 0.0
-    suspect: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/ebonypick/request/_selection.py
+++ b/ebonypick/request/_selection.py
@@ -122,10 +122,6 @@
         max_load = MAX_HOME_LOAD[min(ask.priority, len(MAX_HOME_LOAD) - 1)]
         if ask.remaining_s < self._service_times.min_s(home, now):
             return _choice.Rejected('late', _retry_after.MIN_RETRY_AFTER_S)
-        by_load = sorted(usable, key=lambda server: server.load_per_slot(now))
-        if ask.suspect and self._admission.admits(by_load[0], now):
-            # A crash there would take the fewest requests with it.
-            return self._chosen(by_load[0], 'suspect', now)
         relief = self._relief(ask, home, usable[1:], now)
         if relief is not None and self._admission.admits(relief, now):
             return self._chosen(relief, 'relief', now)
@@ -133,6 +129,7 @@
             home, now
         ):
             return self._chosen(home, 'home', now)
+        by_load = sorted(usable, key=lambda server: server.load_per_slot(now))
         for server in by_load:
             if server.load_per_slot(now) >= MAX_SPILL_LOAD:
                 break
