Count the servers that a host could not reach since it last reached one

From one host's log it could not be told whether the host was cut off or the servers were down: each failed attempt stands alone. EP1212 now has `unreached`, and the metrics a gauge of the same. No decision changes.

--- a/ebonypick/connection/_server_pool.py
+++ b/ebonypick/connection/_server_pool.py
@@ -20,10 +20,13 @@
         IP address and TCP port of the backend server.
     local_address : str, optional
         Local IP address to connect from.
+    on_opened : callable, optional
+        Called after each new connection.
     """
 
-    def __init__(self, address, local_address=None):
+    def __init__(self, address, local_address=None, on_opened=lambda: None):
         self.address = address
+        self._on_opened = on_opened
         self._local_addr = (local_address, 0) if local_address else None
         self._idle = collections.deque()
         self._closed = False
@@ -70,6 +73,7 @@
                 )
         except (OSError, TimeoutError) as exc:
             raise _pool.ConnectFailedError(repr(exc)) from exc
+        self._on_opened()
         return conn
 
     @contextlib.asynccontextmanager
--- a/ebonypick/events.py
+++ b/ebonypick/events.py
@@ -139,6 +139,7 @@
     'outcome',
     'why',
     'took_ms',
+    'unreached',
 )
 REQUEST_ENDED = define(
     'EP1213',
--- a/ebonypick/process/_metrics.py
+++ b/ebonypick/process/_metrics.py
@@ -38,6 +38,12 @@
             'Backend servers that name a limit of requests.',
             registry=self.registry,
         )
+        self.unreached_backends = prometheus_client.Gauge(
+            'ebonypick_unreached_backends',
+            'Backend servers to which no connection could be opened since '
+            'one to any server was last opened.',
+            registry=self.registry,
+        )
         self.passed_limited = prometheus_client.Counter(
             'ebonypick_passed_limited',
             'Choices that passed over a server because of its limit.',
--- a/ebonypick/process/_server_attempt.py
+++ b/ebonypick/process/_server_attempt.py
@@ -150,6 +150,7 @@
             result = await self._exchange(entry)
         except connection.ConnectFailedError as exc:
             fleet.unreachable(entry.instance, time.monotonic())
+            self._node.reach.note_failed(entry.instance)
             result = AttemptResult(
                 request.Outcome.NOT_RUN,
                 f'no connection: {exc}',
@@ -207,6 +208,7 @@
             outcome=str(result.outcome),
             why=result.why,
             took_ms=round((time.monotonic() - self._sent_at) * 1000),
+            unreached=self._node.reach.unreached_count,
         )
 
     def _matches_request(self, status, by_name):
--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -72,6 +72,10 @@
             settings.data_centres,
             self._rng,
         )
+        self.reach = request.Reach()
+        self.metrics.unreached_backends.set_function(
+            lambda: self.reach.unreached_count
+        )
         self.crashes = _crash_reports.CrashReports(self, self._rng)
         self.metrics.limited_backends.set_function(
             lambda: self.fleet.limited_count
@@ -279,7 +283,9 @@
         if pool is None or pool.address != entry.address:
             if pool is not None:
                 pool.close()
-            pool = connection.ServerPool(entry.address, self.settings.address)
+            pool = connection.ServerPool(
+                entry.address, self.settings.address, self.reach.note_opened
+            )
             self._pools[entry.instance] = pool
         return pool
 
--- a/ebonypick/request/__init__.py
+++ b/ebonypick/request/__init__.py
@@ -46,6 +46,7 @@
 from ebonypick.request._quarantine import Quarantine
 from ebonypick.request._rank import rendezvous
 from ebonypick.request._rank import weighted_rendezvous
+from ebonypick.request._reach import Reach
 from ebonypick.request._retry_limit import RepeatLimit
 from ebonypick.request._retry_limit import RepeatTerms
 from ebonypick.request._round_robin import WeightedRoundRobin
@@ -89,6 +90,7 @@
     'Placed',
     'Quarantine',
     'Queued',
+    'Reach',
     'Record',
     'Rejected',
     'RepeatLimit',
