Reproduce hosts that are cut off from all backend servers in failing tests

Hosts as processes; one, two or all three of a data centre cannot open connections to servers: they hang and the open ones are silent, are refused and the open ones are reset, or are refused while the open ones work. Callers, the store and the other hosts reach them.

--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -11,6 +11,7 @@
 
 from standins import pipelining
 from standins import store
+from tests.soak import cut_off
 from tests.soak import proxy
 from tests import steering_calls
 from tests import steering_world
@@ -188,8 +189,13 @@
         self._ready[name] = lifetime
 
     def _program(self, name):
-        clock = self.folder / f'{name}.clock'
-        return ('tests.soak.clocked', str(clock), 'ebonypick.steering')
+        return (
+            'tests.soak.clocked',
+            str(self.folder / f'{name}.clock'),
+            'tests.soak.cut_off',
+            str(self.folder / f'{name}.cut'),
+            'ebonypick.steering',
+        )
 
     def step_clock(self, name, seconds):
         """Set the offset of a host's wall clock, in seconds."""
@@ -198,6 +204,43 @@
         whole.write_text(str(seconds))
         whole.replace(path)
 
+    @contextlib.contextmanager
+    def cut_off(self, names, how):
+        """Cut hosts off from all backend servers while the context is open.
+
+        Parameters
+        ==========
+        names : iterable of str
+            The hosts; all else reaches them.
+        how : str
+            A way of ``tests.soak.cut_off``.
+        """
+        links = [
+            link for n, link in self.proxies.items() if n.startswith('server ')
+        ]
+        ports = [link.front[1] for link in links]
+        sources = {self.address(name) for name in names}
+        cuts = {
+            (source, direction)
+            for source in sources
+            for direction in (proxy.TO_BACK, proxy.TO_FRONT)
+        }
+        for name in names:
+            cut_off.write_cut(self.folder / f'{name}.cut', how, ports)
+        for link in links:
+            if how == cut_off.HANG:
+                link.cuts |= cuts
+            elif how == cut_off.RESET:
+                for source in sources:
+                    link.reset(source)
+        try:
+            yield
+        finally:
+            for name in names:
+                cut_off.write_cut(self.folder / f'{name}.cut', None, ())
+            for link in links:
+                link.cuts -= cuts
+
     def hang_up(self, name):
         """Send SIGHUP unless the interpreter is still starting."""
         age_s = time.monotonic() - self._started_at[name]
