Pass requests on to other hosts while this one reaches no backend server

Callers of hosts that had lost their links to all backend servers were refused after 1.4 to 2.0 s (2 of 45 and 2 of 32 first tries served, the others 440 of 441 and 444 of 445), or got 502 and 504.

Cause: a host took each failed connection for a fault of one server, left that one out and tried the next, a second each; and a request could go from a host to servers only, though other hosts reached both. The record shows it: 111 attempts of two hosts end without a connection while no connection of the region's third host fails.

Now a host that cannot reach two servers in a row, or whose requests all wait for 1.5 s, opens connections to three servers in different data centres. If none opens, it knows that it is cut off: it tells the others with its gossip, look-ups leave it out, and what callers still send goes to a host that reaches servers, near ones first, on a port of its own (EP1214). The other host answers for it as for its own callers; what it refuses has not run, what it cannot take goes to a second one, and without any the request is refused at once with the time until the next probe. A connection that opens ends the cut, and failures that were those of the host's links are not held against servers.

Same cause elsewhere: connections that were lost and then refused by the cut counted as crashes of the servers, so that innocent requests would have been withheld on all hosts; now only if another server is reached.

--- a/ebonypick/connection/_headers.py
+++ b/ebonypick/connection/_headers.py
@@ -17,6 +17,12 @@
 HOP_REASON = 'ebonypick-hop-reason'
 AVOID = 'ebonypick-avoid'
 LOAD = 'ebonypick-load'
+# Number of backend servers to which a request that is passed on may be sent.
+ATTEMPTS = 'ebonypick-attempts'
+# Why a host cannot take a request at all; another host may.
+UNABLE = 'ebonypick-unable'
+# The backend server that gave an answer.
+BACKEND = 'ebonypick-backend'
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1) and headers that each hop sets
 # anew, such as those of the framing.
--- a/ebonypick/events.py
+++ b/ebonypick/events.py
@@ -151,6 +151,20 @@
     'why',
     'took_ms',
     'config',
+    'relayed_by',
+)
+RELAYED = define(
+    'EP1214',
+    'A request was passed on to another entry host, as this one reaches no '
+    'backend server.',
+    'req',
+    'route',
+    'service',
+    'host',
+    'outcome',
+    'why',
+    'took_ms',
+    'config',
 )
 BACKEND_CHANGED = define(
     'EP1301', 'A backend server changed its state.', 'backend', 'state', 'why'
@@ -326,6 +340,17 @@
     'crashes',
     'source',
 )
+HOST_CUT_OFF = define(
+    'EP1319',
+    'This host reaches no backend server; other hosts take its requests.',
+    'unreached',
+)
+HOST_RECONNECTED = define(
+    'EP1320',
+    'This host reaches backend servers again.',
+    'cut_s',
+    'others_reach',
+)
 EVACUATION_CHANGED = define(
     'EP1312',
     'The set of evacuated data centres changed.',
--- a/ebonypick/platform/__init__.py
+++ b/ebonypick/platform/__init__.py
@@ -11,6 +11,7 @@
 from ebonypick.platform._headers import caller_request
 from ebonypick.platform._headers import forward_head
 from ebonypick.platform._headers import own_answer_headers
+from ebonypick.platform._headers import relay_head
 from ebonypick.platform._lookup import answer_lookup
 from ebonypick.platform._lookup import is_lookup
 from ebonypick.platform._lookup import is_readiness
@@ -48,4 +49,5 @@
     'is_readiness',
     'lookup_place',
     'own_answer_headers',
+    'relay_head',
 )
--- a/ebonypick/platform/_headers.py
+++ b/ebonypick/platform/_headers.py
@@ -73,15 +73,13 @@
     )
 
 
-def forward_head(req, instance, remaining_s):
-    """Return the headers of a request that is sent to a backend server.
+def relay_head(req, remaining_s):
+    """Return the headers of a request that another entry host is to serve.
 
     Parameters
     ==========
     req : connection.CallerRequest
         The request.
-    instance : str
-        The instance name of the backend server that must run it.
     remaining_s : float
         Time left until the deadline of the answer.
 
@@ -96,6 +94,26 @@
     ]
     rows.insert(0, ('host', req.headers.get('host', '')))
     rows.append((_DEADLINE_MS, str(max(1, int(remaining_s * 1000)))))
+    return rows
+
+
+def forward_head(req, instance, remaining_s):
+    """Return the headers of a request that is sent to a backend server.
+
+    Parameters
+    ==========
+    req : connection.CallerRequest
+        The request.
+    instance : str
+        The instance name of the backend server that must run it.
+    remaining_s : float
+        Time left until the deadline of the answer.
+
+    Returns
+    =======
+    list of (str, str)
+    """
+    rows = relay_head(req, remaining_s)
     rows.append((_EXPECTED_INSTANCE, instance))
     return rows
 
--- a/ebonypick/process/_attempt_series.py
+++ b/ebonypick/process/_attempt_series.py
@@ -1,8 +1,10 @@
 """The consecutive attempts of one request."""
 
+import functools
 import time
 
 from ebonypick import errors
+from ebonypick.process import _host_attempt
 from ebonypick.process import _server_attempt
 from ebonypick import request
 from ebonypick import version
@@ -12,6 +14,12 @@
 MIN_REPEAT_SHARE = 0.5
 # Retry-After of a request that another host can take at once.
 OTHER_HOST_RETRY_S = 0.05
+# Retry-After of a request for which no host reaches a server. Hosts notice
+# within this time that one can be reached again.
+NO_SERVER_RETRY_S = 0.75
+# Entry hosts that are asked to take a request, one after the other. A host
+# that cannot be reached takes a second of the time that the request has.
+MAX_HOSTS_ASKED = 2
 
 
 class AttemptSeries:
@@ -68,30 +76,99 @@
         while True:
             self._check_time()
             self._check_crashes()
-            choice = self._node.fleet.choose(self._ask(), time.monotonic())
-            if choice.passed_limited:
-                self._node.metrics.passed_limited.labels(
-                    self._job.service
-                ).inc()
-            if isinstance(choice, request.Rejected):
-                raise self._rejected_error(choice)
+            make_attempt = self._plan_attempt()
             if (
                 last is not None
                 and last.may_have_arrived
                 and not self._may_repeat()
             ):
                 raise self._final_error(last)
-            last = await self._attempt(choice)
+            last = await self._run_attempt(make_attempt())
             if last.final:
+                self._check_truth(last)
                 return last
             if last.outcome is not request.Outcome.NOT_RUN:
                 if not self._job.route.kind.idempotent:
                     raise self._final_error(last)
-            if self.sent >= self._job.route.max_attempts:
+            if self.sent >= self._job.max_attempts:
                 raise self._final_error(last)
             if not self._job.body.repeatable:
                 raise self._final_error(last)
 
+    def _check_truth(self, result):
+        """Check that a refusal of another host is true of all attempts.
+
+        Raises
+        ======
+        errors.UnknownOutcomeError
+            If a server may have run the request before.
+        """
+        refused = result.outcome is request.Outcome.NOT_RUN
+        if refused and self._may_have_run:
+            raise errors.UnknownOutcomeError(reason=result.why)
+
+    def _plan_attempt(self):
+        """Return a function that makes the next attempt.
+
+        Raises
+        ======
+        errors.EbonypickError
+            If no server and no other host can take the request.
+        """
+        if self._node.reach.cut_off:
+            return self._plan_relay()
+        choice = self._node.fleet.choose(self._ask(), time.monotonic())
+        if choice.passed_limited:
+            self._node.metrics.passed_limited.labels(self._job.service).inc()
+        if isinstance(choice, request.Rejected):
+            raise self._rejected_error(choice)
+        return functools.partial(
+            _server_attempt.ServerAttempt,
+            self._node,
+            self._job,
+            choice,
+            self.sent + 1,
+        )
+
+    def _plan_relay(self):
+        """Return a function that makes an attempt at another host.
+
+        Raises
+        ======
+        errors.NotReadyError
+            If another host has passed the request to this one.
+        errors.NoBackendError, errors.UnknownOutcomeError
+            If there is no host to ask; the second one if a server may have
+            run the request.
+        """
+        if self._job.relayed:
+            raise errors.NotReadyError(
+                reason='it reaches no backend server',
+                retry_after_s=OTHER_HOST_RETRY_S,
+            )
+        asked = {
+            attempt.instance
+            for attempt in self._attempts
+            if isinstance(attempt, _host_attempt.HostAttempt)
+        }
+        host = None
+        if len(asked) < MAX_HOSTS_ASKED:
+            host = self._node.relays.choose(self._job.route.regions, asked)
+        if host is not None:
+            return functools.partial(
+                _host_attempt.HostAttempt,
+                self._node,
+                self._job,
+                host,
+                self._job.max_attempts - self.sent,
+            )
+        exc = errors.NoBackendError(
+            service=self._job.service, retry_after_s=NO_SERVER_RETRY_S
+        )
+        if self._may_have_run:
+            raise errors.UnknownOutcomeError(reason=exc.detail)
+        raise exc
+
     def _check_time(self):
         """Reject a request that would outlast the planned stop of this host.
 
@@ -166,10 +243,7 @@
             ),
         )
 
-    async def _attempt(self, choice):
-        attempt = _server_attempt.ServerAttempt(
-            self._node, self._job, choice, self.sent + 1
-        )
+    async def _run_attempt(self, attempt):
         self._attempts.append(attempt)
         result = await attempt.run()
         if result.outcome is not request.Outcome.NOT_RUN:
--- a/ebonypick/process/_forward.py
+++ b/ebonypick/process/_forward.py
@@ -9,11 +9,20 @@
 from ebonypick import platform
 from ebonypick.process import _attempt_series
 from ebonypick.process import _body
-from ebonypick.process import _server_attempt
+from ebonypick.process import _job
+from ebonypick.process import _transfer
 
 # Bodies up to this length are buffered, so that another attempt can send them
 # again.
 BODY_BUFFER_BYTES = 1 << 20
+MAX_ATTEMPTS_DIGITS = 4
+# A host that answers a request of another host with one of these errors cannot
+# take any request, or not with the configuration that the other host has.
+UNABLE_ERRORS = (
+    errors.NotReadyError,
+    errors.NoBackendError,
+    errors.NoRouteError,
+)
 # Retry-After of a host without a configuration; it usually receives one within
 # this time.
 NOT_READY_RETRY_S = 0.5
@@ -28,11 +37,14 @@
         The owner of the connections and of the routing state.
     req : connection.CallerRequest
         The request.
+    relayed : bool
+        Whether another entry host passed it on to this one.
     """
 
-    def __init__(self, node, req):
+    def __init__(self, node, req, relayed=False):
         self._node = node
         self._req = req
+        self._relayed = relayed
         self._started_at = req.received_at
         self._head = platform.caller_request(req)
         self._cfg = node.board.version
@@ -61,6 +73,7 @@
             why=why,
             took_ms=round(took_s * 1000),
             config=self._cfg.number if self._cfg else None,
+            relayed_by=self._req.client if self._relayed else None,
         )
         metrics = self._node.metrics
         metrics.requests.labels(self._service, str(outcome)).inc()
@@ -74,6 +87,8 @@
         body, headers = connection.problem(exc)
         rows = [row for row in headers if row[0] != 'retry-after']
         rows += platform.own_answer_headers(self._head.req, exc.retry_after_s)
+        if self._relayed and isinstance(exc, UNABLE_ERRORS):
+            rows.append((connection.headers.UNABLE, exc.code))
         await self._respond(exc.status, rows, body)
 
     async def _respond(self, status, headers, body):
@@ -97,7 +112,7 @@
         finally:
             self._status = series.status
         if result.answer is not None:
-            await self._pass_on(result)
+            await self._pass_on(job, result)
         return result.outcome, result.why
 
     def _timeout_error(self, sent):
@@ -118,6 +133,10 @@
         errors.NotReadyError, errors.RequestError, errors.NoRouteError
             If the request cannot be served.
         """
+        if self._relayed and self._node.leaving:
+            raise errors.NotReadyError(
+                reason='it is stopping', retry_after_s=NOT_READY_RETRY_S
+            )
         if self._cfg is None:
             raise errors.NotReadyError(
                 reason='it has no configuration yet',
@@ -139,8 +158,10 @@
             self._service,
             BODY_BUFFER_BYTES,
         )
-        self._node.repeat_limit(self._service).note_request(time.monotonic())
-        return _server_attempt.Job(
+        if not self._relayed:
+            limit = self._node.repeat_limit(self._service)
+            limit.note_request(time.monotonic())
+        return _job.Job(
             self._req,
             self._head,
             self._cfg,
@@ -148,10 +169,27 @@
             self._service,
             body,
             self._started_at + waits_s,
+            self._max_attempts(route),
+            self._relayed,
         )
 
-    async def _pass_on(self, result):
+    def _max_attempts(self, route):
+        """Return how many servers may still receive the request.
+
+        Raises
+        ======
+        errors.RequestError
+            If the host that passed it on sent no valid number.
+        """
+        if not self._relayed:
+            return route.max_attempts
+        text = self._req.headers.get(connection.headers.ATTEMPTS, '')
+        if not text.isdecimal() or len(text) > MAX_ATTEMPTS_DIGITS:
+            raise errors.RequestError(reason='its number of attempts is bad')
+        return min(route.max_attempts, int(text))
+
+    async def _pass_on(self, job, result):
         answer = result.answer
         self._status = answer.status
-        rows = _server_attempt.forwarded_headers(answer.headers)
+        rows = _transfer.answer_headers(job, answer, result.backend)
         await self._respond(answer.status, rows, result.body)
--- a/ebonypick/process/_gossip.py
+++ b/ebonypick/process/_gossip.py
@@ -54,6 +54,12 @@
         self._membership.leave()
         self._publish()
 
+    def set_cut_off(self, cut_off):
+        """Tell the other hosts whether this one reaches no server."""
+        self._membership.set_cut_off(cut_off, time.monotonic())
+        self._publish()
+        self.spread()
+
     def note_unreachable(self, host):
         """Note that a host could not be reached."""
         self._membership.note_unreachable(host, time.monotonic())
@@ -114,6 +120,15 @@
             events.MEMBER_CHANGED.log(member=name, state=state, why='gossip')
         for name in sorted(after - before):
             events.MEMBER_CHANGED.log(member=name, state='live', why='gossip')
+        cut_off = old.cut_off if old else frozenset()
+        for name in sorted(view.cut_off - cut_off):
+            events.MEMBER_CHANGED.log(
+                member=name, state='without servers', why='gossip'
+            )
+        for name in sorted(cut_off - view.cut_off):
+            events.MEMBER_CHANGED.log(
+                member=name, state='with servers', why='gossip'
+            )
 
     async def run(self):
         """Exchange messages until cancelled."""
--- a/ebonypick/process/_gossip_messages.py
+++ b/ebonypick/process/_gossip_messages.py
@@ -26,6 +26,8 @@
         Whether the host is in a planned stop.
     loads : dict of str to tuple of int
         Free slots, waiting requests and all slots, by service.
+    cut_off : bool
+        Whether the host reaches no backend server.
     """
 
     host: str
@@ -33,6 +35,7 @@
     beat: int
     leaving: bool
     loads: dict[str, tuple[int, int, int]]
+    cut_off: bool = False
 
     @property
     def order(self):
@@ -55,6 +58,8 @@
     loads : dict of str to tuple of int
         Free slots, waiting requests and all slots, summed over the hosts, by
         service.
+    cut_off : tuple of str
+        Entry hosts of the data centre that reach no backend server.
     """
 
     data_centre: str
@@ -64,6 +69,7 @@
     absent: tuple[str, ...]
     leaving: tuple[str, ...]
     loads: dict[str, tuple[int, int, int]]
+    cut_off: tuple[str, ...] = ()
 
     @property
     def order(self):
--- a/ebonypick/process/_host_rows.py
+++ b/ebonypick/process/_host_rows.py
@@ -134,6 +134,7 @@
             'callers': settings.callers,
             'peers': f'{settings.address}:{settings.peer_ports[0]}',
             'data_centre': settings.data_centre,
+            'relays': settings.relays,
             'started_ms': self._node.started_ms,
             'capacity': settings.capacity,
         }
--- a/ebonypick/process/_membership.py
+++ b/ebonypick/process/_membership.py
@@ -21,10 +21,10 @@
 MAX_RECORDS = 12
 # A host that could not be reached gets no work for this time.
 FAILED_HOST_S = 1.0
-# A host of another data centre that announced a planned stop is left out for
-# this time. By then the digests of its data centre report the stop, or its
-# records have timed out.
-LEAVING_HOST_S = CENTRE_SUSPECT_S
+# What a host of another data centre announced of itself, a planned stop or
+# that it reaches no backend server, holds for this time. By then the digests
+# of its data centre report it, or its records have timed out.
+ANNOUNCED_S = CENTRE_SUSPECT_S
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,10 +37,13 @@
         The entry hosts that take work, by data centre.
     leaving : frozenset of str
         Entry hosts in a planned stop.
+    cut_off : frozenset of str
+        Entry hosts that reach no backend server.
     """
 
     alive: dict
     leaving: frozenset
+    cut_off: frozenset = frozenset()
 
 
 @dataclasses.dataclass
@@ -67,6 +70,7 @@
         self.host = host
         self.data_centre = data_centre
         self.leaving = False
+        self.cut_off = False
         self.loads = {}
         # Ratio of the length of a round to TICK_S. It exceeds 1 where the
         # byte budget slows the rounds down, and suspicion time-outs scale
@@ -79,7 +83,10 @@
         self._hosts = {}
         self._speakers = {}
         self._failed = {}
-        self._left = {}
+        # What hosts of other data centres said of themselves.
+        self._announced = {}
+        # Until when all messages tell whether this host is cut off.
+        self._announces_until = float('-inf')
 
     def configure(self, centres):
         """Set the entry hosts of each data centre.
@@ -96,10 +103,11 @@
             for name, received in self._hosts.items()
             if name in siblings
         }
-        self._left = {
-            name: until
-            for name, until in self._left.items()
-            if any(name in names for names in self._centres.values())
+        listed = {name for names in centres.values() for name in names}
+        self._announced = {
+            name: received
+            for name, received in self._announced.items()
+            if name in listed
         }
         self._speakers = {
             key: received
@@ -152,6 +160,15 @@
         self.leaving = True
         self._beat += 1
 
+    def set_cut_off(self, cut_off, now):
+        """Set whether this host reaches no backend server.
+
+        The beat is incremented for the same reason as in ``leave``.
+        """
+        self.cut_off = cut_off
+        self._announces_until = float('inf') if cut_off else now + ANNOUNCED_S
+        self._beat += 1
+
     def tick(self, now):
         """Increment the beat; return the hosts to exchange messages with."""
         self._beat += 1
@@ -204,6 +221,7 @@
             self._beat,
             self.leaving,
             dict(self.loads),
+            self.cut_off,
         )
 
     def _own_centre_record(self, now):
@@ -227,6 +245,7 @@
             tuple(absent),
             tuple(r.host for r in records if r.leaving),
             loads,
+            tuple(r.host for r in records if r.cut_off),
         )
 
     def _select(self, table, limit_s, now):
@@ -252,7 +271,8 @@
         crashes=(),
     ):
         """Return the message to a host of a data centre."""
-        hosts = (self._own_record(),) if self.leaving else ()
+        announces = self.leaving or now < self._announces_until
+        hosts = (self._own_record(),) if announces else ()
         if to_centre == self.data_centre:
             limit_s = self._max_record_age_s(SUSPECT_S, len(self._hosts))
             rows = self._select(self._hosts, limit_s, now)
@@ -281,8 +301,8 @@
                 self._refute(record)
             elif record.host in siblings:
                 self._store_if_newer(self._hosts, record.host, record, now)
-            elif record.leaving:
-                self._left[record.host] = now + LEAVING_HOST_S
+            else:
+                self._store_if_newer(self._announced, record.host, record, now)
         for record in message.centres:
             if record.data_centre == self.data_centre:
                 continue
@@ -324,12 +344,16 @@
     def view(self, now):
         """Return the current view."""
         alive = {}
-        leaving = {self.host} if self.leaving else set()
         here = self._alive_here(now)
-        for name in here:
-            if name != self.host and self._hosts[name].record.leaving:
-                leaving.add(name)
-        leaving.update(n for n, until in self._left.items() if now < until)
+        records = [self._hosts[n].record for n in here if n != self.host]
+        records.append(self._own_record())
+        records += [
+            received.record
+            for received in self._announced.values()
+            if now < received.at + ANNOUNCED_S
+        ]
+        leaving = {record.host for record in records if record.leaving}
+        cut_off = {record.host for record in records if record.cut_off}
         alive[self.data_centre] = here
         newest = self._newest(now)
         for centre, names in self._centres.items():
@@ -340,6 +364,7 @@
                 continue
             received, speakers = newest[centre]
             leaving.update(received.record.leaving)
+            cut_off.update(received.record.cut_off)
             absent = set(received.record.absent) - speakers
             absent.update(n for n in names if self._has_failed(n, now))
             alive[centre] = [n for n in names if n not in absent]
@@ -349,6 +374,7 @@
                 for centre, names in alive.items()
             },
             frozenset(leaving),
+            frozenset(cut_off),
         )
 
     def loads_of(self, service, now):
--- a/ebonypick/process/_metrics.py
+++ b/ebonypick/process/_metrics.py
@@ -44,6 +44,17 @@
             'one to any server was last opened.',
             registry=self.registry,
         )
+        self.cut_off = prometheus_client.Gauge(
+            'ebonypick_cut_off',
+            '1 while this host reaches no backend server, else 0.',
+            registry=self.registry,
+        )
+        self.relayed = prometheus_client.Counter(
+            'ebonypick_relayed',
+            'Requests that were passed on to another entry host.',
+            ['service', 'outcome'],
+            registry=self.registry,
+        )
         self.passed_limited = prometheus_client.Counter(
             'ebonypick_passed_limited',
             'Choices that passed over a server because of its limit.',
--- a/ebonypick/process/_peer_directory.py
+++ b/ebonypick/process/_peer_directory.py
@@ -28,6 +28,9 @@
         Time of the host's start in milliseconds since the epoch.
     capacity : float
         Capacity relative to other hosts.
+    relays : str
+        Endpoint for requests that other hosts pass on; empty for a host of an
+        earlier release, which takes none.
     """
 
     callers: str
@@ -35,6 +38,7 @@
     data_centre: str
     started_ms: int
     capacity: float = 1.0
+    relays: str = ''
 
 
 def decode_rows(values):
--- a/ebonypick/process/_roster.py
+++ b/ebonypick/process/_roster.py
@@ -83,12 +83,27 @@
             return listed
         return {centre: names for centre, names in view.alive.items() if names}
 
+    def reaching(self):
+        """Return the live hosts that reach backend servers."""
+        view = self._node.board.view
+        cut_off = view.cut_off if view is not None else frozenset()
+        hosts = {
+            centre: tuple(n for n in names if n not in cut_off)
+            for centre, names in self.live().items()
+        }
+        return {centre: names for centre, names in hosts.items() if names}
+
     def serving(self):
-        """Return the hosts that look-ups return, by data centre."""
+        """Return the hosts that look-ups return, by data centre.
+
+        Those that reach no backend server are left out unless all are cut
+        off.
+        """
         rows = self._node.connections.rows
+        live = self.reaching() or self.live()
         hosts = {
             centre: {n: rows[n].capacity for n in names if n in rows}
-            for centre, names in self.live().items()
+            for centre, names in live.items()
         }
         return request.serving_hosts(hosts, self._node.settings.data_centres)
 
--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -17,6 +17,8 @@
 from ebonypick.process import _membership
 from ebonypick.process import _metrics
 from ebonypick.process import _peer_directory
+from ebonypick.process import _reach
+from ebonypick.process import _relays
 from ebonypick.process import _roster
 from ebonypick.process import _steering_control
 from ebonypick.process import _steering_settings
@@ -40,6 +42,8 @@
 # In a planned stop, a request is sent to a server only if this multiple of
 # its usual time is left, since it may have to wait as long as it runs.
 STOP_TIME_RATIO = 2.0
+# What a host adds to the head of a request that it passes on.
+RELAY_HEADER_BYTES = 256
 # Limits of servers in one gossip message, some 40 bytes each.
 MAX_LIMIT_RECORDS = 12
 
@@ -72,10 +76,8 @@
             settings.data_centres,
             self._rng,
         )
-        self.reach = request.Reach()
-        self.metrics.unreached_backends.set_function(
-            lambda: self.reach.unreached_count
-        )
+        self.reach = _reach.ReachTask(self)
+        self.relays = _relays.Relays(self, self._rng)
         self.crashes = _crash_reports.CrashReports(self, self._rng)
         self.metrics.limited_backends.set_function(
             lambda: self.fleet.limited_count
@@ -103,6 +105,7 @@
         self._repeat_limits = {}
         self._pools = {}
         self._callers = None
+        self._relayed = None
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self):
@@ -111,6 +114,7 @@
             await stack.enter_async_context(self.connections)
             await stack.enter_async_context(self.tasks)
             stack.callback(self.close_pools)
+            stack.callback(self.relays.close)
             await self._listen(stack)
             self._start_tasks()
             self._stack = stack.pop_all()
@@ -135,6 +139,11 @@
         self._callers.set_limits(
             limits.header_bytes, limits.header_s, limits.idle_s
         )
+        self._relayed.set_limits(
+            limits.header_bytes + RELAY_HEADER_BYTES,
+            limits.header_s,
+            limits.idle_s,
+        )
 
     async def _listen(self, stack):
         address = self.settings.address
@@ -149,13 +158,18 @@
                 self._control.serve_metrics,
                 f'{address}:{self.settings.metrics_port}',
             ),
+            (self._handle_relayed, self.settings.relays),
             (self._handle, self.settings.callers),
         )
-        for handler, endpoint in listeners:
-            server = connection.make_caller_server(
-                'http', *_steering_settings.endpoint(endpoint), handler
+        servers = [
+            await stack.enter_async_context(
+                connection.make_caller_server(
+                    'http', *_steering_settings.endpoint(endpoint), handler
+                )
             )
-            self._callers = await stack.enter_async_context(server)
+            for handler, endpoint in listeners
+        ]
+        self._relayed, self._callers = servers[-2:]
 
     def _start_tasks(self):
         keep = _tasks.keep_running
@@ -163,6 +177,7 @@
             self.tasks.start(keep(table, follower.run))
         self.tasks.start(keep('gossip', self.gossip.run))
         self.tasks.start(keep('hosts', self._follow_hosts))
+        self.tasks.start(keep('reach', self.reach.run))
         self.tasks.start(keep('host rows', self.store_view.host_rows.run))
 
     async def _follow_hosts(self):
@@ -289,13 +304,16 @@
             self._pools[entry.instance] = pool
         return pool
 
-    async def _handle(self, req):
+    async def _handle(self, req, relayed=False):
         self.in_flight += 1
         try:
-            await _forward.Forward(self, req).run()
+            await _forward.Forward(self, req, relayed).run()
         finally:
             self.in_flight -= 1
 
+    async def _handle_relayed(self, req):
+        await self._handle(req, relayed=True)
+
     @property
     def ready(self):
         """Whether callers may send requests to this host."""
@@ -335,7 +353,7 @@
         callers are still reading. Until ``spare_until`` it also waits for
         callers that have connected and have not yet sent a request.
         """
-        if self.in_flight or self._callers.busy:
+        if self.in_flight or self._callers.busy or self._relayed.busy:
             return True
         spares = time.monotonic() < spare_until
         return spares and self._callers.awaits_first_request
--- a/ebonypick/process/_steering_settings.py
+++ b/ebonypick/process/_steering_settings.py
@@ -73,7 +73,8 @@
     callers, readiness, lookups : str
         Endpoints that the host serves.
     peer_ports : (int, int)
-        First and last port for the traffic between hosts.
+        First and last port for the traffic between hosts; the first two
+        are used.
     data_centres : dict of str to str
         The region of each data centre.
     store : str
@@ -105,6 +106,11 @@
     terms: Terms = Terms()
     metrics_port: version.Port = METRICS_PORT
 
+    @property
+    def relays(self):
+        """The endpoint for requests that other hosts pass on."""
+        return f'{self.address}:{self.peer_ports[0] + 1}'
+
     @property
     def capacity(self):
         """Capacity in Mbit/s: the minimum of the link and the core share."""
--- a/ebonypick/process/tests/test_host_rows.py
+++ b/ebonypick/process/tests/test_host_rows.py
@@ -61,6 +61,7 @@
     settings = types.SimpleNamespace(
         host=name,
         callers='127.0.0.1:1',
+        relays='127.0.0.1:2',
         address='127.0.0.1',
         peer_ports=(2, 3),
         data_centre='a-1',
--- a/ebonypick/process/tests/test_membership.py
+++ b/ebonypick/process/tests/test_membership.py
@@ -173,7 +173,7 @@
         if other != 'b1':
             net.exchange('b1', other)
     net.start('b1')
-    net.run(_membership.LEAVING_HOST_S + 2)
+    net.run(_membership.ANNOUNCED_S + 2)
     for other in HOSTS:
         assert 'b1' in net.live(other)
 
@@ -231,3 +231,48 @@
                 members[name].receive(sent, now)
     for name in names:
         assert len(members[name].view(now).alive['c']) == 100
+
+
+@given(
+    st.integers(0, 10_000),
+    st.sets(st.sampled_from(sorted(HOSTS)), min_size=1),
+    st.sampled_from([0.0, 0.1, 0.3]),
+)
+def test_all_hosts_learn_which_ones_are_cut_off_from_servers(
+    seed, cut_off, loss
+):
+    net = Net(seed)
+    net.loss = loss
+    net.run(3)
+    for name in cut_off:
+        net.members[name].set_cut_off(True, net.now)
+    net.run(8)
+    for member in net.members.values():
+        assert member.view(net.now).cut_off == cut_off
+    for name in cut_off:
+        net.members[name].set_cut_off(False, net.now)
+    net.run(8)
+    for name, member in net.members.items():
+        assert member.view(net.now).cut_off == frozenset()
+        assert net.live(name) == set(HOSTS)
+
+
+def test_one_message_tells_a_host_of_another_data_centre_of_a_cut():
+    net = Net(3)
+    net.run(5)
+    for cut_off in (True, False):
+        net.members['b1'].set_cut_off(cut_off, net.now)
+        net.exchange('b1', 'a3')
+        found = net.members['a3'].view(net.now).cut_off
+        assert found == ({'b1'} if cut_off else frozenset())
+
+
+def test_a_host_that_restarts_is_no_longer_cut_off():
+    net = Net(4)
+    net.run(5)
+    net.members['a2'].set_cut_off(True, net.now)
+    net.run(3)
+    net.start('a2')
+    net.run(_membership.ANNOUNCED_S + 2)
+    for member in net.members.values():
+        assert member.view(net.now).cut_off == frozenset()
--- a/ebonypick/process/tests/test_roster.py
+++ b/ebonypick/process/tests/test_roster.py
@@ -1,7 +1,11 @@
 """The choice of the hosts that read the store for their region."""
 
+import types
+
 import pytest
 
+from ebonypick.process import _membership
+from ebonypick.process import _peer_directory
 from ebonypick.process import _roster
 
 
@@ -35,3 +39,37 @@
 
 def test_a_region_without_hosts_has_no_reader():
     assert _roster.store_readers('r', {}) == ()
+
+
+def _roster_of(cut_off, hosts):
+    regions = {'c0': 'r', 'c1': 'r', 'c2': 's'}
+    view = _membership.View(hosts, frozenset(), frozenset(cut_off))
+    rows = {
+        name: _peer_directory.HostRow(f'{name}:1', '', centre, 0)
+        for centre, names in hosts.items()
+        for name in names
+    }
+    node = types.SimpleNamespace(
+        settings=types.SimpleNamespace(data_centres=regions),
+        board=types.SimpleNamespace(view=view),
+        connections=types.SimpleNamespace(rows=rows, centres=lambda: hosts),
+    )
+    return _roster.Roster(node)
+
+
+def test_look_ups_leave_out_hosts_that_are_cut_off_from_servers():
+    hosts = _hosts(2, 1, 1)
+    assert _roster_of({'c0-0'}, hosts).serving() == {
+        'c0': ('c0-1',),
+        'c1': ('c1-0',),
+        'c2': ('c2-0',),
+    }
+    assert _roster_of({*hosts['c0'], *hosts['c1']}, hosts).serving() == {
+        'c2': ('c2-0',)
+    }
+
+
+def test_look_ups_name_all_hosts_if_all_are_cut_off_from_servers():
+    hosts = _hosts(2, 1, 1)
+    every = {name for names in hosts.values() for name in names}
+    assert _roster_of(every, hosts).serving() == hosts
--- a/ebonypick/request/__init__.py
+++ b/ebonypick/request/__init__.py
@@ -47,6 +47,7 @@
 from ebonypick.request._rank import rendezvous
 from ebonypick.request._rank import weighted_rendezvous
 from ebonypick.request._reach import Reach
+from ebonypick.request._relay_host import choose_relay_host
 from ebonypick.request._retry_limit import RepeatLimit
 from ebonypick.request._retry_limit import RepeatTerms
 from ebonypick.request._round_robin import WeightedRoundRobin
@@ -58,6 +59,7 @@
 from ebonypick.request._server_limits import ServerLimit
 from ebonypick.request._serving import serving_hosts
 from ebonypick.request._verdict import judge
+from ebonypick.request._verdict import NOT_RUN_STATUSES
 from ebonypick.request._verdict import Verdict
 
 __all__ = (
@@ -82,6 +84,7 @@
     'Load',
     'LoadReport',
     'MAX_CRASHES',
+    'NOT_RUN_STATUSES',
     'NoSlot',
     'Offer',
     'Outcome',
@@ -109,6 +112,7 @@
     'Ticket',
     'Verdict',
     'WeightedRoundRobin',
+    'choose_relay_host',
     'expected_s',
     'fingerprint',
     'judge',
--- a/ebonypick/request/_admission.py
+++ b/ebonypick/request/_admission.py
@@ -109,7 +109,7 @@
 
         If so, the request counts.
         """
-        if now >= server.cold_until:
+        if not server.cold(now):
             return True
         instance = server.entry.instance
         rate = self._warmup_per_s.get(server.entry.service, 1.0)
--- a/ebonypick/request/_fleet.py
+++ b/ebonypick/request/_fleet.py
@@ -58,6 +58,10 @@
         self._departures = _departure.Departures()
         self._service_times = _service_times.ServiceTimes()
         self._ticket_numbers = itertools.count()
+        # Times at which outstanding requests were sent, by ticket number and
+        # in order, and the time of the last answer.
+        self._outstanding = {}
+        self._answered_at = float('-inf')
         self._preferences = _preference.Preferences(
             data_centre, regions, self._departures, self._rng
         )
@@ -166,10 +170,12 @@
         if known:
             self._admission.note_sent(server, now)
             server.tickets[ticket.number] = ticket
+        self._outstanding[ticket.number] = now
         return ticket
 
     def ended(self, ticket, now):
         """Record that a request no longer occupies a server."""
+        self._outstanding.pop(ticket.number, None)
         server = self._servers.get(ticket.instance)
         if server is None:
             return
@@ -198,6 +204,7 @@
         =======
         AnswerNews
         """
+        self._answered_at = now
         server = self._servers.get(ticket.instance)
         left_ms = self._note_departure(ticket, head, wall_ms)
         if server is None or server.entry.started_ms != ticket.started_ms:
@@ -360,10 +367,56 @@
             return
         pause_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2**server.failures)
         server.failures += 1
+        server.failed_at = now
         server.down_until = now + pause_s
-        server.cold_until = max(
-            server.cold_until, now + pause_s + REGISTRATION_DELAY_S
-        )
+        server.suspect_until = now + pause_s + REGISTRATION_DELAY_S
+
+    # Links of this host to all servers.
+
+    def waiting_since(self):
+        """Return since when requests wait and no server has answered any.
+
+        Returns
+        =======
+        float or None
+            Monotonic time in seconds; None if no request waits.
+        """
+        if not self._outstanding:
+            return None
+        first_sent_at = next(iter(self._outstanding.values()))
+        return max(first_sent_at, self._answered_at)
+
+    def to_probe(self, count):
+        """Return servers that show whether this host reaches any.
+
+        They are in different data centres where possible, and those that
+        could be reached last come first.
+        """
+        servers = list(self._servers.values())
+        self._rng.shuffle(servers)
+        servers.sort(key=lambda server: server.failures)
+        first = {}
+        for server in servers:
+            first.setdefault(server.entry.data_centre, server)
+        servers.sort(key=lambda s: s is not first[s.entry.data_centre])
+        return [server.entry for server in servers[:count]]
+
+    def forget_failures(self, since):
+        """Undo what failures were held against servers.
+
+        Parameters
+        ==========
+        since : float
+            Monotonic time from which the links of this host had failed,
+            rather than the servers.
+        """
+        for server in self._servers.values():
+            server.unanswered = 0
+            server.health.forget_exclusion(since)
+            if server.failed_at >= since:
+                server.failures = 0
+                server.down_until = 0.0
+                server.suspect_until = 0.0
 
 
 def _has_restarted(server, entry):
--- a/ebonypick/request/_health.py
+++ b/ebonypick/request/_health.py
@@ -40,6 +40,7 @@
         self._recent = collections.OrderedDict()
         self._ratio = 1.0
         self._sample_count = 0
+        self._excluded_at = float('-inf')
         self._excluded_until = 0.0
         self._exclusions = 0
 
@@ -68,11 +69,18 @@
             return
         pause_s = min(MAX_EXCLUSION_S, FIRST_EXCLUSION_S * 2**self._exclusions)
         self._exclusions += 1
+        self._excluded_at = now
         self._excluded_until = now + pause_s
         # Only samples after the exclusion count for the next judgement.
         self._ratio = 1.0
         self._sample_count = 0
 
+    def forget_exclusion(self, since):
+        """Undo an exclusion that began at or after a time."""
+        if self._excluded_at >= since:
+            self._excluded_until = 0.0
+            self._exclusions = 0
+
     def note_good(self):
         """Record an answer within the usual time."""
         if self._sample_count > 2 * MIN_SAMPLES:
--- a/ebonypick/request/_selection.py
+++ b/ebonypick/request/_selection.py
@@ -104,7 +104,7 @@
             if wait_s > 0.0:
                 found.limited.append(wait_s)
                 continue
-            if now < server.cold_until:
+            if server.cold(now):
                 if not self._admission.is_cold_sender(server):
                     found.cold = True
                     continue
--- a/ebonypick/request/_server_state.py
+++ b/ebonypick/request/_server_state.py
@@ -24,6 +24,11 @@
         The region of the server.
     cold_until : float
         Monotonic time until which the server can handle only few requests.
+    suspect_until : float
+        Monotonic time until which the server is treated as cold because it
+        could not be reached.
+    failed_at : float
+        Monotonic time of the last failure to connect.
     health : ServerHealth
         Whether the server is slow.
     tickets : dict of int to Ticket
@@ -51,6 +56,8 @@
     entry: object
     region: str
     cold_until: float = 0.0
+    suspect_until: float = 0.0
+    failed_at: float = float('-inf')
     health: object = dataclasses.field(default_factory=_health.ServerHealth)
     tickets: dict = dataclasses.field(default_factory=dict)
     others: int = 0
@@ -68,6 +75,10 @@
         """Number of outstanding requests of this host at the server."""
         return len(self.tickets)
 
+    def cold(self, now):
+        """Return whether the server can handle only few requests."""
+        return now < max(self.cold_until, self.suspect_until)
+
     def overdue(self, usual_s, now):
         """Return whether a request about a cached object is overdue."""
         for ticket in self.tickets.values():
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -281,6 +281,38 @@
     return found
 
 
+@promises.register('hosts without servers')
+def check_cuts(world):
+    """Callers of hosts that are cut off from all servers are served.
+
+    From ``CONTACT_S`` after the start, their first tries succeed at least
+    two thirds as often as those at the other hosts, unless few fail.
+    """
+    found = []
+    for cut in world.cuts:
+        start = cut.start + soak_world.CONTACT_S
+        calls = [
+            call
+            for call in world.calls
+            if start <= call.sent_at <= cut.end
+            and world.in_touch(call.host, start, call.ended_at)
+            and world.calm(start, call.ended_at, 'servers')
+        ]
+        here = [call for call in calls if call.host in cut.hosts]
+        others = [call for call in calls if call.host not in cut.hosts]
+        failed = sum(call.status != 200 for call in here)
+        if not others or failed <= 10 + len(here) / 50:
+            continue
+        share = 1 - failed / len(here)
+        other_share = sum(c.status == 200 for c in others) / len(others)
+        if share < other_share * 2 / 3:
+            found.append(
+                f'{sorted(cut.hosts)} served {share:.2f}, the others '
+                f'{other_share:.2f}'
+            )
+    return found
+
+
 def check_recovered(calls):
     """Return a violation if too few calls after the recovery succeeded."""
     served = sum(call.status == 200 for call in calls)
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -8,6 +8,7 @@
 
 from ebonypick import registry
 from standins import upstream
+from tests.soak import cut_off
 from tests.soak import proxy
 from tests.soak import world as soak_world
 
@@ -399,3 +400,24 @@
     world.tell('evacuate', centre, None)
     await asyncio.sleep(soak_world.EVACUATION_S + for_s)
     world.tell('return', centre, None)
+
+
+@troubles.register('hosts cut off from servers')
+async def cut_off_hosts(world, rng, for_s):
+    """Let some hosts, all of a data centre or all lose their servers."""
+    names = sorted(world.processes)
+    centre = rng.choice(sorted(soak_world.CENTRES))
+    chosen = rng.choice(
+        (
+            rng.sample(names, 1),
+            [name for name in names if name.startswith(centre)],
+            names,
+        )
+    )
+    how = rng.choice(cut_off.HOW)
+    async with world.one_cut:
+        start = time.monotonic()
+        with world.cut_off(chosen, how):
+            await asyncio.sleep(soak_world.CONTACT_S + for_s)
+        cut = soak_world.Cut(frozenset(chosen), start, time.monotonic())
+        world.cuts.append(cut)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -99,6 +99,23 @@
     served: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class Cut:
+    """A period in which hosts were cut off from all backend servers.
+
+    Parameters
+    ==========
+    hosts : frozenset of str
+        Names of the hosts.
+    start, end : float
+        Monotonic times, in seconds.
+    """
+
+    hosts: frozenset
+    start: float
+    end: float
+
+
 class SoakWorld(steering_world.SteeringWorld):
     """Async context manager that runs a deployment with proxies.
 
@@ -119,6 +136,9 @@
         self.troubles = []
         self.told = []
         self.exits = []
+        self.cuts = []
+        # Cuts do not overlap, so that each has hosts to compare with.
+        self.one_cut = asyncio.Lock()
         self.proxies = {}
         self._started_at = {}
         self._ready = {}
--- a/tests/test_cut_off_hosts.py
+++ b/tests/test_cut_off_hosts.py
@@ -4,10 +4,12 @@
 """
 
 import asyncio
+import json
 import time
 
 import pytest
 
+from ebonypick import events
 from tests.soak import cut_off
 from tests.soak import world as soak_world
 from tests import steering_calls
@@ -22,6 +24,9 @@
 CONTACT_S = soak_world.CONTACT_S
 SERVED_RATIO = 2 / 3
 CHECKED_S = 4.0
+# More than hosts buffer of a request and of an answer.
+LONG_BODY_BYTES = 3 << 20
+LOOK_UP = '/resolve?name=x&region=a&zone=a-1'
 # Half of the objective of the routes.
 AT_ONCE_S = 0.25
 AT_ONCE_SHARE = 0.9
@@ -79,6 +84,92 @@
     assert steering_calls.violations(world) == []
 
 
+def test_requests_on_lost_links_are_not_taken_for_crashes(tmp_path):
+    async def play(world, names):
+        load = asyncio.create_task(world.load(4.0, 3 * PER_S))
+        await asyncio.sleep(2.0)
+        with world.cut_off(names, cut_off.RESET):
+            await load
+
+    world, _ = _play(tmp_path, play)
+    crashed = [
+        line
+        for name in world.names()
+        for line in world.log_lines(name)
+        if line['message_type'] == events.BACKEND_CRASHED.code
+    ]
+    assert crashed == []
+
+
+def _play_calls(tmp_path, ask):
+    """Cut off a data centre, let its hosts notice, and send single calls."""
+
+    async def play(world, names):
+        await world.load(1.0, PER_S)
+        with world.cut_off(names, cut_off.HANG):
+            await world.load(CONTACT_S, PER_S, names)
+            async with steering_calls.caller_session() as session:
+                return await ask(world, session, names)
+
+    return _play(tmp_path, play)
+
+
+def test_long_bodies_are_passed_on_whole(tmp_path):
+    async def ask(world, session, names):
+        return [
+            await world.call(session, name, 'upload', size=LONG_BODY_BYTES)
+            for name in names
+        ]
+
+    world, calls = _play_calls(tmp_path, ask)
+    assert [call.status for call in calls] == [200] * HOSTS
+    assert steering_calls.violations(world) == []
+
+
+def test_look_ups_do_not_name_hosts_without_servers(tmp_path):
+    async def ask(world, session, names):
+        return [
+            json.loads((await world.get(name, 8463, LOOK_UP))[1])['addresses']
+            for name in world.names()
+        ]
+
+    world, found = _play_calls(tmp_path, ask)
+    cut = {world.address(n) for n in world.names() if n.startswith('a-1')}
+    for addresses in found:
+        assert addresses
+        assert not cut & {row.partition(':')[0] for row in addresses}
+
+
+def test_a_server_that_leaves_gets_nothing_from_hosts_that_passed_it_on(
+    tmp_path,
+):
+    async def play(world, names):
+        await world.load(1.0, PER_S)
+        with world.cut_off(names, cut_off.RESET):
+            await world.load(CONTACT_S, PER_S, names)
+            for server in world.upstreams:
+                server.says_leaving = server.data_centre == 'b-1'
+            await world.load(2.0, PER_S, names)
+        told_at = time.monotonic()
+        await world.load(CHECKED_S, PER_S, names)
+        return told_at
+
+    world, told_at = _play(tmp_path, play)
+    told = {
+        (world.address(call.host), call.headers['server-seal'])
+        for call in world.calls
+        if call.ended_at < told_at and 'server-leaving' in call.headers
+    }
+    assert told
+    late = [
+        arrival
+        for server in world.upstreams
+        for arrival in server.arrivals
+        if arrival.at > told_at and (arrival.source, server.instance) in told
+    ]
+    assert late == []
+
+
 def _assert_refused_at_once(calls):
     calls = [call for call in calls if call.status != 200]
     assert calls
