Let an odd row of another writer cost no more than that row

Another writer may leave a row among those of the servers that is nested very deeply, or holds a number, a port or a time out of range.

- A field that is nested 50,000 levels deep raised RecursionError, which no reader of rows caught: all hosts stopped following the table, also after a restart.
- A number of slots of 400 digits passed, and each choice of a server then failed with OverflowError: every request of the service ended as 500.
- A host's row with port 65536 ended the task of each membership message.

JSON of other processes is decoded in one place now, which reports deep nesting like any other malformed JSON. Whole numbers are bounded by what every codec carries exactly, as a larger one in a membership message could not be sent on and would have ended a host's gossip; slots, weights, times and capacities are bounded as well; endpoints are an IPv4 address and a port from 1 to 65535. The rows in an answer of the store are decoded one by one.

--- a/ebonypick/caller/_client.py
+++ b/ebonypick/caller/_client.py
@@ -12,6 +12,7 @@
 from ebonypick.caller import _lookups
 from ebonypick.caller import _pools
 from ebonypick import connection
+from ebonypick import json_text
 from ebonypick import request
 
 HEDGE_AFTER_S = 0.35
@@ -56,7 +57,7 @@
         ):
             return ''
         try:
-            return msgspec.json.decode(self.body).get('code', '')
+            return json_text.decode(self.body).get('code', '')
         except (msgspec.MsgspecError, AttributeError):
             return ''
 
--- a/ebonypick/caller/_lookups.py
+++ b/ebonypick/caller/_lookups.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ebonypick import connection
+from ebonypick import json_text
 
 LOOKUP_TIMEOUT_S = 0.6
 AVOID_FAILED_HOST_S = 1.0
@@ -124,7 +125,7 @@
             )
             if status != 200:
                 return None
-            found = msgspec.json.decode(body, type=LookUp)
+            found = json_text.decode(body, LookUp)
         except (
             connection.ConnectFailedError,
             connection.LostError,
--- a/ebonypick/cli/_live.py
+++ b/ebonypick/cli/_live.py
@@ -8,6 +8,7 @@
 from ebonypick.cli import _base
 from ebonypick.cli import _platform
 from ebonypick import connection
+from ebonypick import json_text
 from ebonypick import version
 
 CLIENT = flags.DEFINE_string('client', None, 'IP address of a caller.')
@@ -30,7 +31,7 @@
             status, body = await pool.call_json(
                 'GET', path, timeout_s=TIMEOUT_S
             )
-        found = msgspec.json.decode(body)
+        found = json_text.decode(body)
     except (
         connection.ConnectFailedError,
         connection.LostError,
--- a/ebonypick/connection/_backend_http.py
+++ b/ebonypick/connection/_backend_http.py
@@ -10,6 +10,7 @@
 from ebonypick.connection import _adapters
 from ebonypick.connection import _pool
 from ebonypick import events
+from ebonypick import json_text
 from ebonypick import request
 
 REQUEST_ID = 'x-request-id'
@@ -121,7 +122,7 @@
             status, body = await self.pool.call_json(
                 'POST', f'/_control/cancel/{req}', timeout_s=PROBE_TIMEOUT_S
             )
-            return status == 200 and msgspec.json.decode(body) == {
+            return status == 200 and json_text.decode(body) == {
                 'state': 'not-run'
             }
         except (
@@ -145,7 +146,7 @@
         if status != 200:
             return None
         try:
-            found = msgspec.json.decode(body, type=LoadReport)
+            found = json_text.decode(body, LoadReport)
         except msgspec.MsgspecError:
             return None
         return request.Report(
--- a/ebonypick/connection/_exchange.py
+++ b/ebonypick/connection/_exchange.py
@@ -29,6 +29,7 @@
 # the connection.
 KEEP_ALIVE_FRACTION = 0.6
 DEFAULT_IDLE_S = 4.0
+MAX_IDLE_DIGITS = 9
 # TCP keepalive detects a peer machine that no longer responds; a server that
 # is merely slow is not affected. Probes start after one second of silence,
 # and three unanswered probes end the connection.
@@ -238,7 +239,8 @@
     def _parse_keep_alive(self, text):
         for part in text.split(','):
             name, _, value = part.strip().partition('=')
-            if name.lower() == 'timeout' and value.isdecimal():
+            valid = value.isdecimal() and len(value) <= MAX_IDLE_DIGITS
+            if name.lower() == 'timeout' and valid:
                 self._idle_timeout_s = int(value) * KEEP_ALIVE_FRACTION
 
     def on_body(self, data):
--- a/ebonypick/connection/_hostlist_http.py
+++ b/ebonypick/connection/_hostlist_http.py
@@ -7,6 +7,7 @@
 from ebonypick.connection import _adapters
 from ebonypick.connection import _platform_http
 from ebonypick.connection import _pool
+from ebonypick import json_text
 
 TIMEOUT_S = 2.0
 
@@ -37,7 +38,7 @@
             )
             if status != 200:
                 raise _pool.LostError(f'status {status}')
-            rows = msgspec.json.decode(body, type=list[HostState])
+            rows = json_text.decode(body, list[HostState])
         except (
             _pool.ConnectFailedError,
             _pool.LostError,
--- a/ebonypick/connection/_platform_http.py
+++ b/ebonypick/connection/_platform_http.py
@@ -9,6 +9,7 @@
 from ebonypick.connection import _adapters
 from ebonypick.connection import _pool
 from ebonypick import errors
+from ebonypick import json_text
 from ebonypick import version
 
 CURRENT_KEY = 'config/current'
@@ -133,7 +134,7 @@
         resp, body = await self._call('GET', f'/table/{key}')
         if resp.status == 404:
             return None
-        return msgspec.json.decode(body, type=StoredRow)
+        return json_text.decode(body, StoredRow)
 
     async def write(self, transaction):
         """Apply a transaction; return whether its conditions held.
@@ -165,7 +166,7 @@
         if resp.status != 200:
             return None
         self._etag = resp.headers.get('etag')
-        stored = msgspec.json.decode(body, type=StoredRow)
+        stored = json_text.decode(body, StoredRow)
         return msgspec.convert(stored.value, version.Row)
 
     async def read_version_row(self, number):
--- a/ebonypick/platform/_config.py
+++ b/ebonypick/platform/_config.py
@@ -1,15 +1,25 @@
 """Decodes the traffic configuration that operators write to the store."""
 
+import typing
+
 import msgspec
 
 from ebonypick import errors
+from ebonypick import json_text
 from ebonypick.platform import _units
 from ebonypick import version
 
 
+# Finite products and sums of weights and rates.
+MAX_WEIGHT = 1e9
+Weight = typing.Annotated[float, msgspec.Meta(le=MAX_WEIGHT)]
+# Negative counts are replaced or rejected later.
+Count = typing.Annotated[int, msgspec.Meta(le=json_text.MAX_WHOLE)]
+
+
 class _Share(msgspec.Struct):
     service: str
-    weight: float
+    weight: Weight
 
 
 class _Path(msgspec.Struct):
@@ -19,8 +29,8 @@
     timeout: str
     # Latency up to which an answer counts with its full value.
     targetLatency: str
-    maxAttempts: int = 1
-    priority: int = 0
+    maxAttempts: Count = 1
+    priority: json_text.Whole = 0
     service: str | None = None
     # Services that share the traffic of the route, by weight; these are not
     # addresses of backend servers.
@@ -38,20 +48,20 @@
 class _Service(msgspec.Struct):
     name: str
     healthPath: str = '/'
-    maxConns: int = 1
+    maxConns: Count = 1
     warmup: str = '0s'
-    warmupPerS: float = 1.0
+    warmupPerS: Weight = 1.0
 
 
 class _Limits(msgspec.Struct):
-    maxHeaderBytes: int = 16_384
-    maxBodyBytes: int = 64 << 20
+    maxHeaderBytes: json_text.Whole = 16_384
+    maxBodyBytes: json_text.Whole = 64 << 20
     headerTimeout: str = '3s'
     idleTimeout: str = '15s'
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: json_text.Whole
     hosts: list[_Host]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -118,7 +128,7 @@
         If the JSON or a value is not valid; the error names the field.
     """
     try:
-        found = msgspec.json.decode(data, type=_Config)
+        found = json_text.decode(data, _Config)
     except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
         raise errors.InvalidValueError(
             field='config', found=str(exc), wanted='a valid configuration'
--- a/ebonypick/platform/_entries.py
+++ b/ebonypick/platform/_entries.py
@@ -1,18 +1,27 @@
 """Decodes the store rows of backend servers and of evacuations."""
 
+import typing
+
 import msgspec
 
+from ebonypick import endpoints
 from ebonypick import errors
+from ebonypick import json_text
 from ebonypick.platform import _units
 from ebonypick import request
 
 EVACUATION_PREFIX = 'evacuate/'
 
 
+# Servers get requests in proportion to their slots, so that a number far above
+# those of real servers would draw the requests of all others.
+MAX_SLOTS = 10_000
+
+
 class _Info(msgspec.Struct):
     service: str
     zone: str
-    slots: int
+    slots: typing.Annotated[int, msgspec.Meta(le=MAX_SLOTS)]
     # The version of the server's software, not of a configuration.
     version: str = ''
 
@@ -21,7 +30,7 @@
     state: str
     # Remaining warm-up time, counted from the time of the write.
     warmupLeft: str = '0ms'
-    sequence: int = 0
+    sequence: json_text.Whole = 0
 
 
 class _Entry(msgspec.Struct):
@@ -29,7 +38,7 @@
     info: _Info
     status: _Status
     # Start time of the server, in milliseconds since the epoch.
-    born: int
+    born: json_text.Whole
 
 
 def decode_server(name, data):
@@ -52,11 +61,8 @@
         If the row cannot be decoded, has an unknown state or no slots.
     """
     try:
-        entry = msgspec.json.decode(data, type=_Entry)
-        host, _, port = entry.address.rpartition(':')
-        address = (host, int(port))
-        if not host or not 0 < address[1] < 65_536:
-            raise ValueError(f'the address {entry.address!r} is not host:port')
+        entry = json_text.decode(data, _Entry)
+        address = endpoints.parse_endpoint(entry.address)
     except (msgspec.MsgspecError, ValueError) as exc:
         raise errors.InvalidValueError(
             field=f'servers/{name}',
--- a/ebonypick/platform/_revision.py
+++ b/ebonypick/platform/_revision.py
@@ -1,7 +1,13 @@
 """Revisions of the platform's store and of its rows."""
 
+import typing
+
 import msgspec
 
+from ebonypick import json_text
+
+Number = typing.Annotated[int, msgspec.Meta(ge=-1, le=json_text.MAX_WHOLE)]
+
 
 class Revision(msgspec.Struct, frozen=True, order=True, array_like=True):
     """A revision of the store, or of a row in it.
@@ -27,8 +33,8 @@
         Number of changes to the store; -1 where no revision is known.
     """
 
-    era: int = 0
-    number: int = -1
+    era: json_text.Whole = 0
+    number: Number = -1
 
 
 NO_REVISION = Revision()
--- a/ebonypick/platform/_store.py
+++ b/ebonypick/platform/_store.py
@@ -10,6 +10,7 @@
 from ebonypick import connection
 from ebonypick import errors
 from ebonypick import events
+from ebonypick import json_text
 from ebonypick.platform import _revision
 from ebonypick.platform import _units
 
@@ -70,18 +71,38 @@
     value: str | None = None
     # Revision of the store at the last change of the row; it is no version of
     # the data in the row.
-    ver: int = 0
+    ver: json_text.Whole = 0
     # Whether the row was removed.
     tombstone: bool = False
 
 
 class _Rows(msgspec.Struct):
-    rows: list[_Row]
+    # Each row is decoded by itself, so that an odd one costs no other.
+    rows: list[msgspec.Raw]
     # Newest revision of the whole store.
-    ver: int
+    ver: json_text.Whole
     hasMore: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class _Page:
+    """The rows of one answer; rows that cannot be decoded are left out."""
+
+    ver: int
+    has_more: bool
+    rows: list[_Row]
+
+
+def _decode_rows(found):
+    rows = []
+    for data in found.rows:
+        try:
+            rows.append(json_text.decode(data, _Row))
+        except msgspec.MsgspecError as exc:
+            events.ENTRY_SKIPPED.log(table=None, key=None, why=str(exc))
+    return rows
+
+
 class _RowName(msgspec.Struct, omit_defaults=True):
     table: str
     key: str
@@ -222,9 +243,10 @@
         if status != 200:
             raise self._error(f'status {status}')
         try:
-            return msgspec.json.decode(body, type=_Rows), era
-        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+            found = json_text.decode(body, _Rows)
+        except msgspec.MsgspecError as exc:
             raise self._error(exc) from exc
+        return _Page(found.ver, found.hasMore, _decode_rows(found)), era
 
     async def read_table(self, table):
         """Return all rows of a table.
@@ -240,7 +262,9 @@
         # at the revision of the first page delivers the changes in between.
         number = found.ver
         rows = list(found.rows)
-        while found.hasMore:
+        while found.has_more:
+            if not found.rows:
+                raise self._error(f'no row of a page of {table} is readable')
             # The next key in byte order is the last key plus a zero byte.
             after = urllib.parse.quote(rows[-1].key + '\0', safe='')
             found, page_era = await self._get_rows(f'{path}&from={after}')
--- a/ebonypick/process/_claims.py
+++ b/ebonypick/process/_claims.py
@@ -11,6 +11,7 @@
 from ebonypick import connection
 from ebonypick import errors
 from ebonypick import events
+from ebonypick import json_text
 from ebonypick import registry
 from ebonypick import request
 
@@ -158,7 +159,7 @@
                 timeout_s=CLAIM_TIMEOUT_S,
             )
             if status == 200:
-                return msgspec.json.decode(body, type=ClaimReply)
+                return json_text.decode(body, ClaimReply)
         except (
             connection.ConnectFailedError,
             connection.LostError,
--- a/ebonypick/process/_config_reader.py
+++ b/ebonypick/process/_config_reader.py
@@ -9,6 +9,7 @@
 from ebonypick import connection
 from ebonypick import errors
 from ebonypick import events
+from ebonypick import json_text
 from ebonypick import version
 
 POLL_S = 1.0
@@ -145,7 +146,7 @@
             )
             if status != 200:
                 return
-            delta = msgspec.json.decode(body, type=version.Delta)
+            delta = json_text.decode(body, version.Delta)
             old = self._bundles.get(delta.since)
             if old is None:
                 return
--- a/ebonypick/process/_control.py
+++ b/ebonypick/process/_control.py
@@ -7,6 +7,7 @@
 
 from ebonypick import errors
 from ebonypick import events
+from ebonypick import json_text
 from ebonypick.process import _body
 from ebonypick.process import _claims
 from ebonypick.process import _config_reader
@@ -189,5 +190,5 @@
 @controls.register('/peer/v1/claims')
 async def claims(node, req):
     """Apply a peer's call to the ledger of idempotency keys."""
-    call = msgspec.json.decode(await _read_body(req), type=_claims.ClaimCall)
+    call = json_text.decode(await _read_body(req), _claims.ClaimCall)
     return _json(_claims.apply_call(node.ledger, call, time.monotonic()))
--- a/ebonypick/process/_gossip.py
+++ b/ebonypick/process/_gossip.py
@@ -8,6 +8,7 @@
 
 from ebonypick import connection
 from ebonypick import events
+from ebonypick import json_text
 from ebonypick.process import _gossip_messages
 from ebonypick.process import _membership
 
@@ -71,7 +72,7 @@
 
     def receive(self, data):
         """Apply a peer's encoded message; return the encoded reply."""
-        message = msgspec.json.decode(data, type=_gossip_messages.Message)
+        message = json_text.decode(data, _gossip_messages.Message)
         self._apply(message, message.sender)
         reply = self._encode(message.data_centre)
         self._count(data, reply)
@@ -188,9 +189,7 @@
             )
             self._count(data, body)
             if status == 200:
-                found = msgspec.json.decode(
-                    body, type=_gossip_messages.Message
-                )
+                found = json_text.decode(body, _gossip_messages.Message)
                 self._apply(found, name)
         except (
             connection.ConnectFailedError,
--- a/ebonypick/process/_gossip_messages.py
+++ b/ebonypick/process/_gossip_messages.py
@@ -7,9 +7,12 @@
 
 import msgspec
 
+from ebonypick import json_text
 from ebonypick import platform
 from ebonypick import request
 
+Loads = tuple[json_text.Whole, json_text.Whole, json_text.Whole]
+
 
 class HostRecord(msgspec.Struct, frozen=True, array_like=True):
     """The record that an entry host spreads within its data centre.
@@ -31,10 +34,10 @@
     """
 
     host: str
-    incarnation: int
-    beat: int
+    incarnation: json_text.Whole
+    beat: json_text.Whole
     leaving: bool
-    loads: dict[str, tuple[int, int, int]]
+    loads: dict[str, Loads]
     cut_off: bool = False
 
     @property
@@ -64,11 +67,11 @@
 
     data_centre: str
     speaker: str
-    incarnation: int
-    beat: int
+    incarnation: json_text.Whole
+    beat: json_text.Whole
     absent: tuple[str, ...]
     leaving: tuple[str, ...]
-    loads: dict[str, tuple[int, int, int]]
+    loads: dict[str, Loads]
     cut_off: tuple[str, ...] = ()
 
     @property
@@ -93,8 +96,8 @@
     """
 
     instance: str
-    started_ms: int
-    turn: typing.Annotated[int, msgspec.Meta(ge=0)]
+    started_ms: json_text.Whole
+    turn: json_text.Whole
     per_s: typing.Annotated[float, msgspec.Meta(ge=0.0)] | None
 
 
@@ -112,7 +115,7 @@
     """
 
     digest: typing.Annotated[str, msgspec.Meta(max_length=64)]
-    turn: typing.Annotated[int, msgspec.Meta(ge=0)]
+    turn: json_text.Whole
     crashed: typing.Annotated[
         tuple[str, ...], msgspec.Meta(max_length=2 * request.MAX_CRASHES)
     ]
@@ -145,7 +148,7 @@
 
     sender: str
     data_centre: str
-    version: int
+    version: json_text.Whole
     platform_s: float | None
     hosts: tuple[HostRecord, ...]
     centres: tuple[CentreRecord, ...]
--- a/ebonypick/process/_peer_directory.py
+++ b/ebonypick/process/_peer_directory.py
@@ -1,18 +1,25 @@
 """The rows of the other steering hosts and the connections to them."""
 
 import dataclasses
+import typing
 
 import msgspec
 
 from ebonypick import connection
+from ebonypick import endpoints
 from ebonypick import events
-from ebonypick.process import _steering_settings
+from ebonypick import json_text
 
 # For this time after the start, all listed hosts count as alive, since their
 # gossip records have not arrived yet. It is longer than the suspicion time-out
 # of the membership.
 TRUST_S = 4.0
 
+# Callers are named the hosts of a region by their capacities relative to the
+# largest, in Mbit/s.
+MAX_CAPACITY = 1e6
+Capacity = typing.Annotated[float, msgspec.Meta(ge=0.0, le=MAX_CAPACITY)]
+
 
 @dataclasses.dataclass(frozen=True)
 class HostRow:
@@ -36,8 +43,8 @@
     callers: str
     peers: str
     data_centre: str
-    started_ms: int
-    capacity: float = 1.0
+    started_ms: json_text.Whole
+    capacity: Capacity = 1.0
     relays: str = ''
 
 
@@ -52,9 +59,11 @@
     rows = {}
     for name, value in values.items():
         try:
-            row = msgspec.json.decode(value, type=HostRow)
-            _steering_settings.endpoint(row.peers)
-            _steering_settings.endpoint(row.callers)
+            row = json_text.decode(value, HostRow)
+            endpoints.parse_endpoint(row.peers)
+            endpoints.parse_endpoint(row.callers)
+            if row.relays:
+                endpoints.parse_endpoint(row.relays)
             rows[name] = row
         except (msgspec.MsgspecError, ValueError) as exc:
             events.ENTRY_SKIPPED.log(table='hosts', key=name, why=str(exc))
@@ -101,7 +110,7 @@
                 old = self.peers.pop(name)
                 self._tasks.start(old.__aexit__(None, None, None))
             pool = connection.Pool(
-                *_steering_settings.endpoint(row.peers),
+                *endpoints.parse_endpoint(row.peers),
                 self._settings.address,
             )
             self.peers[name] = await pool.__aenter__()
--- a/ebonypick/process/_relays.py
+++ b/ebonypick/process/_relays.py
@@ -3,7 +3,7 @@
 import collections
 
 from ebonypick import connection
-from ebonypick.process import _steering_settings
+from ebonypick import endpoints
 from ebonypick import request
 
 
@@ -57,7 +57,7 @@
 
     def pool(self, host):
         """Return the connections for requests that a host takes."""
-        address = _steering_settings.endpoint(
+        address = endpoints.parse_endpoint(
             self._node.connections.rows[host].relays
         )
         pool = self._pools.get(host)
--- a/ebonypick/process/_row_broadcast.py
+++ b/ebonypick/process/_row_broadcast.py
@@ -18,6 +18,7 @@
 
 from ebonypick import connection
 from ebonypick import events
+from ebonypick import json_text
 from ebonypick import platform
 from ebonypick.process import _row_messages
 from ebonypick import request
@@ -72,7 +73,7 @@
 
     root: str
     instance: str
-    started_ms: int
+    started_ms: json_text.Whole
     names: tuple[str, ...] = ()
 
     @property
@@ -208,7 +209,7 @@
         msgspec.MsgspecError
             If the message cannot be decoded.
         """
-        message = msgspec.json.decode(data, type=Told)
+        message = json_text.decode(data, Told)
         follower = self._followers.get(message.rows.table)
         if follower is None:
             return
@@ -233,7 +234,7 @@
         msgspec.MsgspecError
             If the message cannot be decoded.
         """
-        message = msgspec.json.decode(data, type=ToldLeaving)
+        message = json_text.decode(data, ToldLeaving)
         self._node.store_view.receive_leaving(
             message.instance, message.started_ms, message.root
         )
--- a/ebonypick/process/_row_order.py
+++ b/ebonypick/process/_row_order.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ebonypick import errors
+from ebonypick import json_text
 from ebonypick import platform
 from ebonypick.process import _peer_directory
 
@@ -57,7 +58,7 @@
     """Return whether an entry host's row is later than another."""
 
     def decode(data):
-        return msgspec.json.decode(data, type=_peer_directory.HostRow)
+        return json_text.decode(data, _peer_directory.HostRow)
 
     return old is not None and _is_later(
         decode, old, new, lambda row: row.started_ms
--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -7,6 +7,7 @@
 import uuid
 
 from ebonypick import connection
+from ebonypick import endpoints
 from ebonypick import events
 from ebonypick import platform
 from ebonypick.process import _board
@@ -21,7 +22,6 @@
 from ebonypick.process import _relays
 from ebonypick.process import _roster
 from ebonypick.process import _steering_control
-from ebonypick.process import _steering_settings
 from ebonypick.process import _store_view
 from ebonypick.process import _tasks
 from ebonypick.process import _wall_clock
@@ -95,7 +95,7 @@
         )
         self.store = connection.make_platform(
             'table',
-            *_steering_settings.endpoint(settings.store),
+            *endpoints.parse_endpoint(settings.store),
             settings.address,
         )
         self.roster = _roster.Roster(self)
@@ -164,7 +164,7 @@
         servers = [
             await stack.enter_async_context(
                 connection.make_caller_server(
-                    'http', *_steering_settings.endpoint(endpoint), handler
+                    'http', *endpoints.parse_endpoint(endpoint), handler
                 )
             )
             for handler, endpoint in listeners
--- a/ebonypick/process/_steering_settings.py
+++ b/ebonypick/process/_steering_settings.py
@@ -20,18 +20,6 @@
 METRICS_PORT = 9464
 
 
-def endpoint(text):
-    """Return the IP address and the port of an endpoint.
-
-    Examples
-    ========
-    >>> endpoint('127.0.0.1:80')
-    ('127.0.0.1', 80)
-    """
-    address, _, port = text.rpartition(':')
-    return address, int(port)
-
-
 @dataclasses.dataclass(frozen=True)
 class Terms:
     """The terms agreed with the users.
--- a/ebonypick/process/_table_follower.py
+++ b/ebonypick/process/_table_follower.py
@@ -14,6 +14,7 @@
 from ebonypick import connection
 from ebonypick import errors
 from ebonypick import events
+from ebonypick import json_text
 from ebonypick import platform
 from ebonypick.process import _row_messages
 from ebonypick.process import _table_rows
@@ -358,7 +359,7 @@
             if status != 200:
                 return
             self.apply_peer_rows(
-                msgspec.json.decode(body, type=_row_messages.PeerRows)
+                json_text.decode(body, _row_messages.PeerRows)
             )
         except (
             connection.ConnectFailedError,
--- a/ebonypick/process/tests/test_malformed_messages.py
+++ b/ebonypick/process/tests/test_malformed_messages.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies
 import pytest
 
+from ebonypick import endpoints
 from ebonypick import errors
 from ebonypick.process import _crash_reports
 from ebonypick.process import _gossip
@@ -123,8 +124,8 @@
 @hypothesis.given(strategies.dictionaries(strategies.text(), MESSAGES))
 def test_unreadable_host_rows_are_skipped(values):
     for row in _peer_directory.decode_rows(values).values():
-        assert _steering_settings.endpoint(row.peers)
-        assert _steering_settings.endpoint(row.callers)
+        assert endpoints.parse_endpoint(row.peers)
+        assert endpoints.parse_endpoint(row.callers)
 
 
 @hypothesis.given(MESSAGES)
--- a/ebonypick/spans.py
+++ b/ebonypick/spans.py
@@ -2,7 +2,7 @@
 
 import re
 
-_SPAN = re.compile(r'^(\d+(?:\.\d+)?)(ms|s)$', re.ASCII)
+_SPAN = re.compile(r'^(\d{1,15}(?:\.\d{1,15})?)(ms|s)$', re.ASCII)
 _UNITS_S = {'ms': 0.001, 's': 1.0}
 
 
--- a/ebonypick/version/_holder.py
+++ b/ebonypick/version/_holder.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ebonypick import json_text
 from ebonypick.version import _check
 from ebonypick.version import _model
 
@@ -76,7 +77,7 @@
     msgspec.MsgspecError
         If the bytes are not an encoded bundle.
     """
-    return msgspec.json.decode(data, type=_check.Bundle)
+    return json_text.decode(data, _check.Bundle)
 
 
 def bundle_digest(bundle):
