Ask no host to take requests that is known to reach no server

If all hosts are cut off, look-ups go on naming all of them, and a request was passed to two of these before it was refused. Look-ups and requests that are passed on now use different lists.

--- a/ebonypick/process/_relays.py
+++ b/ebonypick/process/_relays.py
@@ -44,7 +44,7 @@
                 and name != settings.host
                 and rows[name].relays
             )
-            for centre, names in self._node.roster.serving().items()
+            for centre, names in self._node.roster.relaying().items()
         }
         return request.choose_relay_host(
             hosts,
--- a/ebonypick/process/_roster.py
+++ b/ebonypick/process/_roster.py
@@ -99,8 +99,15 @@
         Those that reach no backend server are left out unless all are cut
         off.
         """
+        return self._with_capacity(self.reaching() or self.live())
+
+    def relaying(self):
+        """Return the hosts that may take requests of others."""
+        return self._with_capacity(self.reaching())
+
+    def _with_capacity(self, live):
+        """Return those hosts whose links carry enough for their region."""
         rows = self._node.connections.rows
-        live = self.reaching() or self.live()
         hosts = {
             centre: {n: rows[n].capacity for n in names if n in rows}
             for centre, names in live.items()
--- a/ebonypick/process/tests/test_roster.py
+++ b/ebonypick/process/tests/test_roster.py
@@ -73,3 +73,10 @@
     hosts = _hosts(2, 1, 1)
     every = {name for names in hosts.values() for name in names}
     assert _roster_of(every, hosts).serving() == hosts
+
+
+def test_no_host_without_servers_is_asked_to_take_requests():
+    hosts = _hosts(2, 1, 1)
+    every = {name for names in hosts.values() for name in names}
+    assert _roster_of(every, hosts).relaying() == {}
+    assert _roster_of(every - {'c2-0'}, hosts).relaying() == {'c2': ('c2-0',)}
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -7,6 +7,8 @@
 import asyncio
 import time
 
+import pytest
+
 from tests.soak import world as soak_world
 from tests import steering_calls
 from tests import steering_world
@@ -17,13 +19,25 @@
 CONTACT_S = 3.0
 DRAIN_S = 2.0
 GIVE_UP_S = 10.0
-
-
-def _silence(world):
-    """Silence all open connections of hosts to the store and each other."""
-    for name, link in world.proxies.items():
-        if name.startswith(('store ', 'peers ')):
-            link.silence()
+STORE, PEERS = 'store ', 'peers '
+# All links, and most of those to the store or between hosts.
+SILENT = (((STORE, PEERS), 1.0), ((STORE,), 0.7), ((PEERS,), 0.7))
+
+
+def _silence(world, links, share=1.0):
+    """Silence open connections of hosts; return the time.
+
+    Parameters
+    ==========
+    links : tuple of str
+        Beginnings of the names of the links: to the store, and to each other.
+    share : float
+        Share of the links of each kind.
+    """
+    for kind in links:
+        names = sorted(n for n in world.proxies if n.startswith(kind))
+        for name in world.rng.sample(names, round(share * len(names))):
+            world.proxies[name].silence()
     return time.monotonic()
 
 
@@ -61,11 +75,14 @@
     return asyncio.run(run())
 
 
-def test_a_version_is_in_force_in_time_after_connections_go_silent(tmp_path):
+@pytest.mark.parametrize(('links', 'share'), SILENT)
+def test_a_version_is_in_force_in_time_after_connections_go_silent(
+    tmp_path, links, share
+):
     async def play(world, session):
         _accept_route(world, 'first')
         await asyncio.sleep(0.6)
-        silent_at = _silence(world)
+        silent_at = _silence(world, links, share)
         await asyncio.sleep(0.3)
         _accept_route(world, 'second')
         return await _until_served(world, session, 'second') - silent_at
@@ -73,12 +90,15 @@
     assert _scene(tmp_path, play) <= CONTACT_S
 
 
-def test_a_drained_server_gets_nothing_after_connections_went_silent(tmp_path):
+@pytest.mark.parametrize(('links', 'share'), SILENT)
+def test_a_drained_server_gets_nothing_after_connections_went_silent(
+    tmp_path, links, share
+):
     async def play(world, session):
         first, second = world.of('registry')[:2]
         _drain(world, first)
         await asyncio.sleep(0.6)
-        silent_at = _silence(world)
+        silent_at = _silence(world, links, share)
         await asyncio.sleep(0.5)
         _drain(world, second)
         while time.monotonic() < silent_at + CONTACT_S + DRAIN_S:
