Give up opening connections to servers once a host knows it is cut off

A request that waited for a connection when its host found out waited for up to a second more, of the 1.4 to 2.0 s that its route allows, before it was passed on, though nothing of it had been sent. Closing a pool now ends the opening of its connections (connection/tests/test_server_pool.py: the first test fails without).

--- a/ebonypick/connection/_server_pool.py
+++ b/ebonypick/connection/_server_pool.py
@@ -29,6 +29,8 @@
         self._on_opened = on_opened
         self._local_addr = (local_address, 0) if local_address else None
         self._idle = collections.deque()
+        # The time-outs of connections that are being opened.
+        self._opening = set()
         self._closed = False
 
     async def __aenter__(self):
@@ -38,8 +40,15 @@
         self.close()
 
     def close(self):
-        """Close idle connections now and the others after their answer."""
+        """Close idle connections now and the others after their answer.
+
+        Connections that are being opened are given up.
+        """
         self._closed = True
+        now = asyncio.get_running_loop().time()
+        for limit in self._opening:
+            if not limit.expired():
+                limit.reschedule(now)
         while self._idle:
             self._idle.pop().abort()
 
@@ -65,7 +74,7 @@
     async def _open(self):
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with self._connect_timeout():
                 _, conn = await loop.create_connection(
                     _exchange.ServerConnection,
                     *self.address,
@@ -76,6 +85,15 @@
         self._on_opened()
         return conn
 
+    @contextlib.asynccontextmanager
+    async def _connect_timeout(self):
+        async with asyncio.timeout(CONNECT_TIMEOUT_S) as limit:
+            self._opening.add(limit)
+            try:
+                yield
+            finally:
+                self._opening.discard(limit)
+
     @contextlib.asynccontextmanager
     async def connection(self, req=None):
         """Return a context manager that yields a connection.
--- a/ebonypick/process/_reach.py
+++ b/ebonypick/process/_reach.py
@@ -123,6 +123,7 @@
         self._others_reach = False
         events.HOST_CUT_OFF.log(unreached=self._reach.unreached_count)
         # Open connections may be silent, and those that work end unused.
+        # Requests that wait for a connection go to other hosts at once.
         self._node.close_pools()
         self._node.gossip.set_cut_off(True)
 
