Say that the outcome is unknown where a relayed request may have run

A request that another host passed on, whose first attempt lost its answer just as this host found that it is cut off, was refused as not run. It could be told only of requests that may run twice, as others end with a lost answer.

Loads of owners may be negative in membership messages, as they were before numbers were bounded.

--- a/ebonypick/json_text.py
+++ b/ebonypick/json_text.py
@@ -12,6 +12,7 @@
 # A larger number is not exact in every JSON codec, and some cannot encode it.
 MAX_WHOLE = 1 << 53
 Whole = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE)]
+Integer = typing.Annotated[int, msgspec.Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
 
 
 def decode(data, kind=typing.Any):
--- a/ebonypick/process/_attempt_series.py
+++ b/ebonypick/process/_attempt_series.py
@@ -137,20 +137,19 @@
         ======
         errors.NotReadyError
             If another host has passed the request to this one.
-        errors.NoBackendError, errors.UnknownOutcomeError
-            If there is no host to ask; the second one if a server may have
-            run the request.
+        errors.NoBackendError
+            If there is no host to ask.
+        errors.UnknownOutcomeError
+            In place of both, if a server may have run the request.
         """
         if self._job.relayed:
-            raise errors.NotReadyError(
-                reason='it reaches no backend server',
-                retry_after_s=OTHER_HOST_RETRY_S,
+            raise self._refusal(
+                errors.NotReadyError(
+                    reason='it reaches no backend server',
+                    retry_after_s=OTHER_HOST_RETRY_S,
+                )
             )
-        asked = {
-            attempt.instance
-            for attempt in self._attempts
-            if isinstance(attempt, _host_attempt.HostAttempt)
-        }
+        asked = {attempt.host for attempt in self._attempts} - {None}
         host = None
         if len(asked) < MAX_HOSTS_ASKED:
             host = self._node.relays.choose(self._job.route.regions, asked)
@@ -162,12 +161,20 @@
                 host,
                 self._job.max_attempts - self.sent,
             )
-        exc = errors.NoBackendError(
-            service=self._job.service, retry_after_s=NO_SERVER_RETRY_S
+        raise self._refusal(
+            errors.NoBackendError(
+                service=self._job.service, retry_after_s=NO_SERVER_RETRY_S
+            )
         )
+
+    def _refusal(self, exc):
+        """Return an error that refuses the request, as far as that is true.
+
+        If a server may have run it, its outcome is unknown.
+        """
         if self._may_have_run:
-            raise errors.UnknownOutcomeError(reason=exc.detail)
-        raise exc
+            return errors.UnknownOutcomeError(reason=exc.detail)
+        return exc
 
     def _check_time(self):
         """Reject a request that would outlast the planned stop of this host.
@@ -179,11 +186,11 @@
         """
         if self._node.has_time_for(self._job.service):
             return
-        reason = 'it stops before the request could end'
-        if self._may_have_run:
-            raise errors.UnknownOutcomeError(reason=reason)
-        raise errors.NotReadyError(
-            reason=reason, retry_after_s=OTHER_HOST_RETRY_S
+        raise self._refusal(
+            errors.NotReadyError(
+                reason='it stops before the request could end',
+                retry_after_s=OTHER_HOST_RETRY_S,
+            )
         )
 
     def _check_crashes(self):
@@ -197,9 +204,7 @@
         try:
             self._node.crashes.check(self._job)
         except errors.WithheldError as exc:
-            if not self._may_have_run:
-                raise
-            raise errors.UnknownOutcomeError(reason=exc.detail) from exc
+            raise self._refusal(exc) from exc
 
     def _ask(self):
         job = self._job
--- a/ebonypick/process/_gossip_messages.py
+++ b/ebonypick/process/_gossip_messages.py
@@ -11,7 +11,8 @@
 from ebonypick import platform
 from ebonypick import request
 
-Loads = tuple[json_text.Whole, json_text.Whole, json_text.Whole]
+# An owner whose limit falls may have a negative number of free slots.
+Loads = tuple[json_text.Integer, json_text.Integer, json_text.Integer]
 
 
 class HostRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/ebonypick/process/_host_attempt.py
+++ b/ebonypick/process/_host_attempt.py
@@ -28,7 +28,7 @@
     def __init__(self, node, job, host, attempts):
         self._node = node
         self._job = job
-        self._host = host
+        self.host = host
         self._attempts = attempts
         self._started_at = time.monotonic()
         # Number of backend servers that may have received the request.
@@ -39,16 +39,16 @@
     @property
     def instance(self):
         """The name of the entry host."""
-        return self._host
+        return self.host
 
     async def run(self):
         """Make the attempt and return its result."""
         relays = self._node.relays
-        relays.begin(self._host)
+        relays.begin(self.host)
         try:
             result = await self._exchange()
         except connection.ConnectFailedError as exc:
-            self._node.gossip.note_unreachable(self._host)
+            self._node.gossip.note_unreachable(self.host)
             result = _job.AttemptResult(
                 request.Outcome.NOT_RUN,
                 f'no connection: {exc}',
@@ -57,7 +57,7 @@
         except (connection.BadAnswerError, connection.LostError) as exc:
             result = _job.AttemptResult(request.Outcome.UNKNOWN, str(exc))
         finally:
-            relays.end(self._host)
+            relays.end(self.host)
         if result.outcome is request.Outcome.NOT_RUN:
             self.sent = 0
         self._log_ended(result)
@@ -68,7 +68,7 @@
             req=self._job.head.req,
             route=self._job.route.name,
             service=self._job.service,
-            host=self._host,
+            host=self.host,
             outcome=str(result.outcome),
             why=result.why,
             took_ms=round((time.monotonic() - self._started_at) * 1000),
@@ -81,7 +81,7 @@
     async def _exchange(self):
         rows = platform.relay_head(self._job.req, self._job.remaining_s())
         rows.append((connection.headers.ATTEMPTS, str(self._attempts)))
-        pool = self._node.relays.pool(self._host)
+        pool = self._node.relays.pool(self.host)
         async with pool.connection(self._job.head.req) as conn:
             self.sent = self._attempts
             await _transfer.send_request(conn, self._job, rows)
@@ -131,5 +131,5 @@
         backend = by_name.get(connection.headers.BACKEND)
         if head.leaving and backend is not None:
             self._node.store_view.receive_leaving(
-                backend, self._node.wall_clock.now_ms(), self._host
+                backend, self._node.wall_clock.now_ms(), self.host
             )
--- a/ebonypick/process/_server_attempt.py
+++ b/ebonypick/process/_server_attempt.py
@@ -32,6 +32,9 @@
         are not counted.
     """
 
+    # The entry host that was asked to serve the request: none was.
+    host = None
+
     def __init__(self, node, job, choice, number):
         self._node = node
         self._job = job
