Check ports in the settings, and keep connections for relayed requests

A port out of range in the settings ended the start with a traceback in place of an error that names the field, and a host needs two ports for the others now. Connections for requests that hosts pass on had the callers' idle limit; below 4 s the other host would have closed them while the sender still used them. Found by reading the change; five cases of the settings are tests.

--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -44,6 +44,9 @@
 STOP_TIME_RATIO = 2.0
 # What a host adds to the head of a request that it passes on.
 RELAY_HEADER_BYTES = 256
+# Longer than hosts keep idle connections to each other, so that no request is
+# sent while its connection is being closed.
+RELAY_IDLE_S = 30.0
 # Limits of servers in one gossip message, some 40 bytes each.
 MAX_LIMIT_RECORDS = 12
 
@@ -142,7 +145,7 @@
         self._relayed.set_limits(
             limits.header_bytes + RELAY_HEADER_BYTES,
             limits.header_s,
-            limits.idle_s,
+            RELAY_IDLE_S,
         )
 
     async def _listen(self, stack):
--- a/ebonypick/process/_steering_settings.py
+++ b/ebonypick/process/_steering_settings.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ebonypick import endpoints
 from ebonypick import errors
 from ebonypick import version
 
@@ -126,7 +127,21 @@
     """
     source = version.read_source(path)
     settings, problems = version.convert(source, SteeringSettings)
+    if not problems:
+        problems = list(_range_problems(settings))
     if problems:
         lines = '\n'.join(str(problem) for problem in problems)
         raise errors.ConfigError(problems=lines)
     return settings
+
+
+def _range_problems(settings):
+    """Yield the problems of values that have the right form."""
+    for field in ('callers', 'readiness', 'lookups', 'store'):
+        try:
+            endpoints.parse_endpoint(getattr(settings, field))
+        except ValueError as exc:
+            yield f'{field}: {exc}'
+    first, last = settings.peer_ports
+    if last <= first:
+        yield f'peer_ports: two ports are needed, found {first} to {last}'
--- a/ebonypick/process/tests/test_malformed_messages.py
+++ b/ebonypick/process/tests/test_malformed_messages.py
@@ -151,3 +151,37 @@
         lines = [json.loads(line) for line in file]
     assert [line['n'] for line in lines] == [1, 2, 3]
     assert lines[1]['req'] == text
+
+
+SETTINGS = {
+    'host': 'h',
+    'data_centre': 'dc',
+    'region': 'r',
+    'address': '127.0.0.1',
+    'callers': '127.0.0.1:1',
+    'readiness': '127.0.0.1:2',
+    'lookups': '127.0.0.1:3',
+    'peer_ports': [4, 5],
+    'data_centres': {'dc': 'r'},
+    'store': '127.0.0.1:6',
+}
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'callers': '127.0.0.1:65536'},
+        {'store': '127.0.0.256:6'},
+        {'lookups': '127.0.0.1:0'},
+        {'peer_ports': [4, 4]},
+        {'peer_ports': [5, 4]},
+    ],
+)
+def test_settings_out_of_range_are_rejected_by_name(tmp_path, changes):
+    path = tmp_path / 'settings.json'
+    path.write_text(json.dumps(SETTINGS))
+    assert _steering_settings.load_steering_settings(str(path))
+    path.write_text(json.dumps({**SETTINGS, **changes}))
+    with pytest.raises(errors.ConfigError) as caught:
+        _steering_settings.load_steering_settings(str(path))
+    assert next(iter(changes)) in str(caught.value)
