Find out about a cut from neighbours, and ask a second data centre

Now a host probes servers when it hears that one of its data centre is cut off, a wait lasts until an answer, whatever attempts end meanwhile, the second host is asked elsewhere, and one that could take nothing is not asked again for a second. The process test of neighbours failed before (1.7 s for 1.0); tests of the core for each.

--- a/ebonypick/process/_entry_host.py
+++ b/ebonypick/process/_entry_host.py
@@ -242,6 +242,9 @@
     def receive_limits(self, limits, source):
         """Ignore the limits of peers, which are not used here."""
 
+    def receive_cut_off(self, host):
+        """Ignore that a host reaches no server: owners report their slots."""
+
     def own_loads(self):
         """Return the loads of this host's slots, by service."""
         return self.layouts.own_loads()
--- a/ebonypick/process/_gossip.py
+++ b/ebonypick/process/_gossip.py
@@ -112,6 +112,8 @@
             return
         board.publish(view=view)
         self._log_changes(old, view)
+        for name in view.cut_off - (old.cut_off if old else frozenset()):
+            self._node.receive_cut_off(name)
 
     def _log_changes(self, old, view):
         before = _members(old) if old else set()
--- a/ebonypick/process/_host_attempt.py
+++ b/ebonypick/process/_host_attempt.py
@@ -89,6 +89,7 @@
             start, whole = await conn.read_start()
             why = answer.by_name.get(connection.headers.UNABLE)
             if why is not None:
+                self._node.relays.note_unable(self.host)
                 return _job.AttemptResult(
                     request.Outcome.NOT_RUN, why, may_have_arrived=False
                 )
--- a/ebonypick/process/_reach.py
+++ b/ebonypick/process/_reach.py
@@ -60,6 +60,15 @@
         self._reach.note_failed(instance, time.monotonic())
         self._probe_if_due()
 
+    def suspect(self):
+        """Probe servers, as another host of the data centre is cut off.
+
+        A host without requests would not find out by itself, and others would
+        pass their requests on to it.
+        """
+        self._reach.suspect()
+        self._probe_if_due()
+
     def note_relayed_answer(self):
         """Record that a server answered a request by way of another host."""
         self._others_reach = True
--- a/ebonypick/process/_relays.py
+++ b/ebonypick/process/_relays.py
@@ -1,11 +1,16 @@
 """Passes requests on to other entry hosts while this one is cut off."""
 
 import collections
+import time
 
 from ebonypick import connection
 from ebonypick import endpoints
 from ebonypick import request
 
+# A host that can take no request is not asked again for this time. By then
+# gossip has told whether it reaches servers, or it has a configuration.
+UNABLE_S = 1.0
+
 
 class Relays:
     """Owns the connections for requests that other hosts take.
@@ -23,6 +28,8 @@
         self._rng = rng
         self._pools = {}
         self._pending = collections.Counter()
+        # Until when hosts that could take no request are not asked.
+        self._unable_until = {}
 
     def choose(self, regions, tried):
         """Return the host to pass a request to, or None.
@@ -36,16 +43,26 @@
         """
         settings = self._node.settings
         rows = self._node.connections.rows
+        now = time.monotonic()
         hosts = {
             centre: tuple(
                 name
                 for name in names
                 if name not in tried
                 and name != settings.host
+                and now >= self._unable_until.get(name, now)
                 and rows[name].relays
             )
             for centre, names in self._node.roster.relaying().items()
         }
+        # A fault often hits all hosts of a data centre.
+        asked = {rows[name].data_centre for name in tried if name in rows}
+        elsewhere = {
+            centre: names
+            for centre, names in hosts.items()
+            if centre not in asked
+        }
+        hosts = elsewhere if any(elsewhere.values()) else hosts
         return request.choose_relay_host(
             hosts,
             settings.data_centre,
@@ -55,6 +72,10 @@
             self._rng,
         )
 
+    def note_unable(self, host):
+        """Record that a host can take no request now."""
+        self._unable_until[host] = time.monotonic() + UNABLE_S
+
     def pool(self, host):
         """Return the connections for requests that a host takes."""
         address = endpoints.parse_endpoint(
--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -223,6 +223,12 @@
                 platform.OPERATOR_TABLE, source, whole=True
             )
 
+    def receive_cut_off(self, host):
+        """Find out whether a fault of another host is one of this one, too."""
+        own = self.settings
+        if host != own.host and self.centre_of(host) == own.data_centre:
+            self.reach.suspect()
+
     def receive_platform_time(self, platform_s):
         """Ignore the platform time of peers, which is not used here."""
 
--- a/ebonypick/process/tests/test_malformed_messages.py
+++ b/ebonypick/process/tests/test_malformed_messages.py
@@ -55,6 +55,7 @@
         receive_revisions=lambda *_: None,
         receive_platform_time=lambda *_: None,
         receive_limits=lambda *_: None,
+        receive_cut_off=lambda host: None,
         limits_to_send=tuple,
         crashes=_crash_reports.NoCrashReports(),
     )
--- a/ebonypick/request/_fleet.py
+++ b/ebonypick/request/_fleet.py
@@ -58,10 +58,10 @@
         self._departures = _departure.Departures()
         self._service_times = _service_times.ServiceTimes()
         self._ticket_numbers = itertools.count()
-        # Times at which outstanding requests were sent, by ticket number and
-        # in order, and the time of the last answer.
-        self._outstanding = {}
-        self._answered_at = float('-inf')
+        # The tickets of outstanding requests, and the time of the first
+        # request since the last answer.
+        self._outstanding = set()
+        self._unanswered_since = None
         self._preferences = _preference.Preferences(
             data_centre, regions, self._departures, self._rng
         )
@@ -170,12 +170,14 @@
         if known:
             self._admission.note_sent(server, now)
             server.tickets[ticket.number] = ticket
-        self._outstanding[ticket.number] = now
+        self._outstanding.add(ticket.number)
+        if self._unanswered_since is None:
+            self._unanswered_since = now
         return ticket
 
     def ended(self, ticket, now):
         """Record that a request no longer occupies a server."""
-        self._outstanding.pop(ticket.number, None)
+        self._outstanding.discard(ticket.number)
         server = self._servers.get(ticket.instance)
         if server is None:
             return
@@ -204,7 +206,7 @@
         =======
         AnswerNews
         """
-        self._answered_at = now
+        self._unanswered_since = now if len(self._outstanding) > 1 else None
         server = self._servers.get(ticket.instance)
         left_ms = self._note_departure(ticket, head, wall_ms)
         if server is None or server.entry.started_ms != ticket.started_ms:
@@ -376,15 +378,15 @@
     def waiting_since(self):
         """Return since when requests wait and no server has answered any.
 
+        Requests that ended without an answer count, as do their next
+        attempts.
+
         Returns
         =======
         float or None
             Monotonic time in seconds; None if no request waits.
         """
-        if not self._outstanding:
-            return None
-        first_sent_at = next(iter(self._outstanding.values()))
-        return max(first_sent_at, self._answered_at)
+        return self._unanswered_since if self._outstanding else None
 
     def to_probe(self, count):
         """Return servers that show whether this host reaches any.
--- a/ebonypick/request/_reach.py
+++ b/ebonypick/request/_reach.py
@@ -41,6 +41,7 @@
         self._failing_since = None
         self._probed_at = float('-inf')
         self._opened_at = float('-inf')
+        self._suspected = False
         self.cut_off = False
 
     @property
@@ -65,8 +66,13 @@
         self._opened_at = now
         self._unreached.clear()
         self._failing_since = None
+        self._suspected = False
         return ended
 
+    def suspect(self):
+        """Record that a host nearby is cut off, as this one may be."""
+        self._suspected = True
+
     def note_failed(self, instance, now):
         """Record that no connection to a server could be opened."""
         self._unreached.add(instance)
@@ -86,7 +92,9 @@
         """
         if now < self._probed_at + PROBE_INTERVAL_S:
             return False
-        if self.cut_off or len(self._unreached) >= SUSPECT_SERVERS:
+        if self.cut_off or self._suspected:
+            return True
+        if len(self._unreached) >= SUSPECT_SERVERS:
             return True
         if waiting_since is None:
             return False
@@ -95,6 +103,7 @@
     def note_probe(self, now):
         """Record the start of a probe."""
         self._probed_at = now
+        self._suspected = False
 
     def note_unreachable(self, now):
         """Record that a probe reached none of its servers.
--- a/ebonypick/request/tests/test_reach.py
+++ b/ebonypick/request/tests/test_reach.py
@@ -71,6 +71,30 @@
     assert fleet.waiting_since() is None
 
 
+def test_attempts_that_fail_one_after_the_other_cause_a_probe():
+    # Load: a request a second, each connection hangs for a second.
+    fleet = _fleet()
+    reach = request.Reach()
+    for second in range(2):
+        ticket = fleet.sent('s-1', 'k', float(second))
+        assert not reach.should_probe(fleet.waiting_since(), second + 0.4)
+        fleet.unreachable('s-1', second + 1.0)
+        reach.note_failed('s-1', second + 1.0)
+        fleet.ended(ticket, second + 1.0)
+    fleet.sent('s-1', 'k', 2.0)
+    assert reach.should_probe(fleet.waiting_since(), 2.1)
+
+
+def test_a_host_nearby_that_is_cut_off_causes_one_probe():
+    reach = request.Reach()
+    reach.note_probe(0.0)
+    reach.suspect()
+    assert not reach.should_probe(None, _reach.PROBE_INTERVAL_S / 2)
+    assert reach.should_probe(None, _reach.PROBE_INTERVAL_S)
+    reach.note_probe(_reach.PROBE_INTERVAL_S)
+    assert not reach.should_probe(None, 3 * _reach.PROBE_INTERVAL_S)
+
+
 def test_a_slow_server_beside_others_that_answer_causes_no_probe():
     fleet = _fleet()
     reach = request.Reach()
--- a/tests/test_cut_off_hosts.py
+++ b/tests/test_cut_off_hosts.py
@@ -30,6 +30,8 @@
 # Half of the objective of the routes.
 AT_ONCE_S = 0.25
 AT_ONCE_SHARE = 0.9
+# Time for a message to another host and for its probe of servers.
+TOLD_S = 1.0
 
 
 def _served_share(calls):
@@ -187,6 +189,24 @@
     assert late == []
 
 
+def test_hosts_without_requests_learn_of_a_cut_from_their_neighbours(tmp_path):
+    async def play(world, names):
+        await world.load(1.0, PER_S)
+        with world.cut_off(names, cut_off.HANG):
+            await world.load(CONTACT_S, PER_S, names[:1])
+
+    world, _ = _play(tmp_path, play)
+    first, *others = (
+        next(
+            line['timestamp']
+            for line in world.log_lines(name)
+            if line['message_type'] == events.HOST_CUT_OFF.code
+        )
+        for name in world.names()[:HOSTS]
+    )
+    assert max(others) - first <= TOLD_S
+
+
 def _assert_refused_at_once(calls):
     calls = [call for call in calls if call.status != 200]
     assert calls
