--- a/bin/prove_needed.py
+++ b/bin/prove_needed.py
@@ -57,6 +57,22 @@
         'return self._with_capacity(self.live())',
         ('tests/test_cut_off_hosts.py', '-k', 'look_ups'),
     ),
+    Cut(
+        'callers of hosts without servers are served',
+        'hosts probe when a neighbour is cut off',
+        'ebonypick/process/_gossip.py',
+        'self._node.receive_cut_off(name)',
+        'pass',
+        ('tests/test_cut_off_hosts.py', '-k', 'neighbours'),
+    ),
+    Cut(
+        'callers of hosts without servers are served',
+        'a wait lasts until an answer',
+        'ebonypick/request/_fleet.py',
+        'if self._unanswered_since is None:',
+        'if True:',
+        ('ebonypick/request/tests/test_reach.py',),
+    ),
     Cut(
         'callers of hosts without servers are served',
         'an announcement that comes late is no news',
