Let one piece of code serve where this change wrote a second one

Found by reading the whole change; behaviour stays as it was:

- Pools by name, replaced when the address changes, stood in the host and again for requests that are passed on: connection.ServerPools.
- Whole numbers with a bound of their digits were parsed in four places: whole_numbers.parse_whole, with the same bounds as before.
- Both kinds of attempts put together the headers of a streamed answer: stream_answer does it.
- Dead: an exception that json_text.decode no longer lets through, and an error that no relayed request can end with.
- Two tests of slow transfers shared their scene but for two figures.

--- a/ebonypick/connection/__init__.py
+++ b/ebonypick/connection/__init__.py
@@ -33,6 +33,7 @@
 from ebonypick.connection._pool import read_message
 from ebonypick.connection._server_pool import request_bytes
 from ebonypick.connection._server_pool import ServerPool
+from ebonypick.connection._server_pool import ServerPools
 
 __all__ = (
     'Answer',
@@ -48,6 +49,7 @@
     'Pool',
     'Put',
     'ServerPool',
+    'ServerPools',
     'StoredRow',
     'Transaction',
     'backend_adapters',
--- a/ebonypick/connection/_exchange.py
+++ b/ebonypick/connection/_exchange.py
@@ -23,6 +23,7 @@
 from ebonypick.connection import _headers
 from ebonypick.connection import _pool
 from ebonypick import errors
+from ebonypick import whole_numbers
 
 # An idle connection is kept for this fraction of the time that the server
 # announces in Keep-Alive, so that no request is sent while the server closes
@@ -239,9 +240,9 @@
     def _parse_keep_alive(self, text):
         for part in text.split(','):
             name, _, value = part.strip().partition('=')
-            valid = value.isdecimal() and len(value) <= MAX_IDLE_DIGITS
-            if name.lower() == 'timeout' and valid:
-                self._idle_timeout_s = int(value) * KEEP_ALIVE_FRACTION
+            idle_s = whole_numbers.parse_whole(value, MAX_IDLE_DIGITS)
+            if name.lower() == 'timeout' and idle_s is not None:
+                self._idle_timeout_s = idle_s * KEEP_ALIVE_FRACTION
 
     def on_body(self, data):
         """Buffer body bytes of the expected answer."""
--- a/ebonypick/connection/_server_pool.py
+++ b/ebonypick/connection/_server_pool.py
@@ -145,6 +145,36 @@
             self._idle.popleft().abort()
 
 
+class ServerPools:
+    """The connection pools of several servers, by name.
+
+    Parameters
+    ==========
+    on_opened : callable, optional
+        Called after each new connection of any of them.
+    """
+
+    def __init__(self, on_opened=lambda: None):
+        self._on_opened = on_opened
+        self._pools = {}
+
+    def get(self, name, address, local_address):
+        """Return the pool of a server, a new one if its address changed."""
+        pool = self._pools.get(name)
+        if pool is None or pool.address != address:
+            if pool is not None:
+                pool.close()
+            pool = ServerPool(address, local_address, self._on_opened)
+            self._pools[name] = pool
+        return pool
+
+    def close(self, names=None):
+        """Close the pools of the named servers, or all of them."""
+        for name in list(self._pools) if names is None else names:
+            if name in self._pools:
+                self._pools.pop(name).close()
+
+
 def request_bytes(method, target, headers, length):
     """Return the encoded head of a request.
 
--- a/ebonypick/endpoints.py
+++ b/ebonypick/endpoints.py
@@ -2,6 +2,8 @@
 
 import ipaddress
 
+from ebonypick import whole_numbers
+
 MAX_PORT = 65_535
 _MAX_PORT_DIGITS = 5
 
@@ -26,9 +28,9 @@
     """
     address, _, port = text.rpartition(':')
     ipaddress.IPv4Address(address)
-    valid = port.isascii() and port.isdecimal()
-    if not valid or len(port) > _MAX_PORT_DIGITS:
+    number = whole_numbers.parse_whole(port, _MAX_PORT_DIGITS)
+    if number is None or not port.isascii():
         raise ValueError(f'{port[:80]!r} is not a port')
-    if not 0 < int(port) <= MAX_PORT:
+    if not 0 < number <= MAX_PORT:
         raise ValueError(f'the port {port} is not from 1 to {MAX_PORT}')
-    return address, int(port)
+    return address, number
--- a/ebonypick/platform/_config.py
+++ b/ebonypick/platform/_config.py
@@ -129,7 +129,7 @@
     """
     try:
         found = json_text.decode(data, _Config)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+    except msgspec.MsgspecError as exc:
         raise errors.InvalidValueError(
             field='config', found=str(exc), wanted='a valid configuration'
         ) from exc
--- a/ebonypick/platform/_headers.py
+++ b/ebonypick/platform/_headers.py
@@ -3,8 +3,8 @@
 import math
 
 from ebonypick import connection
-from ebonypick.platform import _units
 from ebonypick import request
+from ebonypick import whole_numbers
 
 _REQUEST_ID = 'attempt-id'
 _DEADLINE_MS = 'deadline-ms'
@@ -36,7 +36,7 @@
 
 def _parse_ms(text):
     """Return a time in ms converted to seconds, or None if unreadable."""
-    whole_ms = _units.parse_whole(text)
+    whole_ms = whole_numbers.parse_whole(text)
     return None if whole_ms is None else whole_ms / 1000
 
 
@@ -119,7 +119,9 @@
 
 
 def _load(text):
-    counts = [_units.parse_whole(part.strip()) for part in text.split(',')]
+    counts = [
+        whole_numbers.parse_whole(part.strip()) for part in text.split(',')
+    ]
     if len(counts) != 3 or None in counts:
         return None
     return request.LoadReport(*counts)
--- a/ebonypick/platform/_store.py
+++ b/ebonypick/platform/_store.py
@@ -12,7 +12,7 @@
 from ebonypick import events
 from ebonypick import json_text
 from ebonypick.platform import _revision
-from ebonypick.platform import _units
+from ebonypick import whole_numbers
 
 OPERATOR_TABLE = 'op'
 SERVER_TABLE = 'servers'
@@ -193,7 +193,7 @@
         errors.PlatformError
             If the answer may predate a restore of the store.
         """
-        era = _units.parse_whole(text)
+        era = whole_numbers.parse_whole(text)
         if era is not None and era >= self._era:
             self._era = era
             return era
@@ -201,7 +201,7 @@
         if text != self._last_invalid_era and (text or self._era):
             self._last_invalid_era = text
             events.ERA_INVALID.log(
-                header=text[: _units.MAX_DIGITS], era=self._era
+                header=text[: whole_numbers.MAX_DIGITS], era=self._era
             )
         if era_at_send < self._era:
             raise self._error(
--- a/ebonypick/platform/_units.py
+++ b/ebonypick/platform/_units.py
@@ -3,22 +3,6 @@
 from ebonypick import errors
 from ebonypick import spans
 
-# No valid time or count has more digits.
-MAX_DIGITS = 15
-
-
-def parse_whole(text):
-    """Return the non-negative integer in a text, or None if there is none.
-
-    Examples
-    ========
-    >>> parse_whole('12'), parse_whole('-1'), parse_whole('')
-    (12, None, None)
-    """
-    if text.isdecimal() and len(text) <= MAX_DIGITS:
-        return int(text)
-    return None
-
 
 def parse_span_s(text, field):
     """Return a time span in seconds.
--- a/ebonypick/process/_forward.py
+++ b/ebonypick/process/_forward.py
@@ -11,6 +11,7 @@
 from ebonypick.process import _body
 from ebonypick.process import _job
 from ebonypick.process import _transfer
+from ebonypick import whole_numbers
 
 # Bodies up to this length are buffered, so that another attempt can send them
 # again.
@@ -18,11 +19,7 @@
 MAX_ATTEMPTS_DIGITS = 4
 # A host that answers a request of another host with one of these errors cannot
 # take any request, or not with the configuration that the other host has.
-UNABLE_ERRORS = (
-    errors.NotReadyError,
-    errors.NoBackendError,
-    errors.NoRouteError,
-)
+UNABLE_ERRORS = (errors.NotReadyError, errors.NoRouteError)
 # Retry-After of a host without a configuration; it usually receives one within
 # this time.
 NOT_READY_RETRY_S = 0.5
@@ -184,9 +181,10 @@
         if not self._relayed:
             return route.max_attempts
         text = self._req.headers.get(connection.headers.ATTEMPTS, '')
-        if not text.isdecimal() or len(text) > MAX_ATTEMPTS_DIGITS:
+        attempts = whole_numbers.parse_whole(text, MAX_ATTEMPTS_DIGITS)
+        if attempts is None:
             raise errors.RequestError(reason='its number of attempts is bad')
-        return min(route.max_attempts, int(text))
+        return min(route.max_attempts, attempts)
 
     async def _pass_on(self, job, result):
         answer = result.answer
--- a/ebonypick/process/_relays.py
+++ b/ebonypick/process/_relays.py
@@ -26,7 +26,7 @@
     def __init__(self, node, rng):
         self._node = node
         self._rng = rng
-        self._pools = {}
+        self._pools = connection.ServerPools()
         self._pending = collections.Counter()
         # Until when hosts that could take no request are not asked.
         self._unable_until = {}
@@ -78,17 +78,12 @@
 
     def pool(self, host):
         """Return the connections for requests that a host takes."""
-        address = endpoints.parse_endpoint(
-            self._node.connections.rows[host].relays
+        row = self._node.connections.rows[host]
+        return self._pools.get(
+            host,
+            endpoints.parse_endpoint(row.relays),
+            self._node.settings.address,
         )
-        pool = self._pools.get(host)
-        if pool is None or pool.address != address:
-            if pool is not None:
-                pool.close()
-            pool = self._pools[host] = connection.ServerPool(
-                address, self._node.settings.address
-            )
-        return pool
 
     def begin(self, host):
         """Count a request that a host is to answer."""
@@ -102,6 +97,4 @@
 
     def close(self):
         """Close all idle connections."""
-        for pool in self._pools.values():
-            pool.close()
-        self._pools.clear()
+        self._pools.close()
--- a/ebonypick/process/_server_attempt.py
+++ b/ebonypick/process/_server_attempt.py
@@ -218,10 +218,5 @@
     async def _stream(self, conn, answer, start):
         self.status = answer.status
         return await _transfer.stream_answer(
-            self._node,
-            self._job.req,
-            conn,
-            answer,
-            start,
-            _transfer.answer_headers(self._job, answer, self.instance),
+            self._node, self._job, conn, answer, start, self.instance
         )
--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -106,7 +106,7 @@
         self._control = _steering_control.Control(self)
         self._service_turns = {}
         self._repeat_limits = {}
-        self._pools = {}
+        self._pools = connection.ServerPools(self.reach.note_opened)
         self._callers = None
         self._relayed = None
         self._stack = contextlib.AsyncExitStack()
@@ -133,9 +133,7 @@
 
     def close_pools(self, names=None):
         """Close idle connections to the named servers, or to all of them."""
-        for name in list(self._pools) if names is None else names:
-            if name in self._pools:
-                self._pools.pop(name).close()
+        self._pools.close(names)
 
     def apply_limits(self, limits):
         """Apply the configured limits to the connections of callers."""
@@ -303,15 +301,9 @@
 
     def pool(self, entry):
         """Return the connection pool of a backend server."""
-        pool = self._pools.get(entry.instance)
-        if pool is None or pool.address != entry.address:
-            if pool is not None:
-                pool.close()
-            pool = connection.ServerPool(
-                entry.address, self.settings.address, self.reach.note_opened
-            )
-            self._pools[entry.instance] = pool
-        return pool
+        return self._pools.get(
+            entry.instance, entry.address, self.settings.address
+        )
 
     async def _handle(self, req, relayed=False):
         self.in_flight += 1
--- a/ebonypick/process/_transfer.py
+++ b/ebonypick/process/_transfer.py
@@ -65,14 +65,14 @@
         conn.write(b'0\r\n\r\n')
 
 
-async def stream_answer(node, req, conn, answer, start, headers):
+async def stream_answer(node, job, conn, answer, start, backend=''):
     """Stream a long answer to the caller as it arrives; return the result.
 
     Parameters
     ==========
     node : SteeringHost
         The host.
-    req : connection.CallerRequest
+    job : Job
         The request.
     conn : connection.ServerConnection
         The connection that the answer is read from.
@@ -80,15 +80,16 @@
         The head of the answer as received.
     start : bytes
         The part of the body that was read.
-    headers : list of (str, str)
-        The header fields to send to the caller.
+    backend : str, optional
+        The backend server that gave it.
     """
+    req = job.req
     if node.leaving:
         req.close_after()
     length = answer.by_name.get('content-length')
     await req.start(
         answer.status,
-        headers,
+        answer_headers(job, answer, backend),
         int(length) if length is not None else None,
     )
     try:
--- a/ebonypick/process/tests/test_table_follower.py
+++ b/ebonypick/process/tests/test_table_follower.py
@@ -293,8 +293,9 @@
     asyncio.run(run())
 
 
-def _serve_slowly(follower, parts, pause_s, calls):
-    """Return a handler that sends a table in parts."""
+@contextlib.asynccontextmanager
+async def _slow_peer(follower, parts, pause_s, calls):
+    """Yield the connections to a host that sends a table in parts."""
 
     async def handle(req):
         calls.append(req.path)
@@ -306,7 +307,11 @@
             await asyncio.sleep(pause_s)
         await req.end()
 
-    return handle
+    async with connection.make_caller_server(
+        'http', '127.0.0.1', 0, handle
+    ) as server:
+        async with connection.Pool('127.0.0.1', server.port) as pool:
+            yield pool
 
 
 def test_a_slow_transfer_of_a_large_table_is_not_begun_again():
@@ -315,21 +320,17 @@
         async with _scene() as scene:
             scene.put('a', b'x' * 1000)
             await scene.until('a')
-            handle = _serve_slowly(scene.follower, 8, 0.2, calls)
-            async with connection.make_caller_server(
-                'http', '127.0.0.1', 0, handle
-            ) as server:
-                async with connection.Pool('127.0.0.1', server.port) as pool:
-                    follower = _table_follower.TableFollower(
-                        connection.make_platform('table', '127.0.0.1', 1),
-                        TABLE,
-                        lambda rows: None,
-                        lambda: (pool,),
-                    )
-                    await asyncio.gather(
-                        *(follower.fetch_from_peer(pool) for _ in range(3))
-                    )
-                    return follower.rows, calls
+            async with _slow_peer(scene.follower, 8, 0.2, calls) as pool:
+                follower = _table_follower.TableFollower(
+                    connection.make_platform('table', '127.0.0.1', 1),
+                    TABLE,
+                    lambda rows: None,
+                    lambda: (pool,),
+                )
+                await asyncio.gather(
+                    *(follower.fetch_from_peer(pool) for _ in range(3))
+                )
+                return follower.rows, calls
 
     rows, calls = asyncio.run(run())
     assert rows == {'a': b'x' * 1000}
@@ -342,14 +343,10 @@
         async with _scene() as scene:
             scene.put('a', b'x' * 1000)
             await scene.until('a')
-            handle = _serve_slowly(scene.follower, 2, 3600.0, calls)
-            async with connection.make_caller_server(
-                'http', '127.0.0.1', 0, handle
-            ) as server:
-                async with connection.Pool('127.0.0.1', server.port) as pool:
-                    started_at = time.monotonic()
-                    await scene.follower.fetch_from_peer(pool)
-                    return time.monotonic() - started_at, calls
+            async with _slow_peer(scene.follower, 2, 3600.0, calls) as pool:
+                started_at = time.monotonic()
+                await scene.follower.fetch_from_peer(pool)
+                return time.monotonic() - started_at, calls
 
     took_s, calls = asyncio.run(run())
     assert took_s < _table_follower.TRANSFER_S
