Log how old the record of a changed host is, and count the bytes of gossip

The log of the incident cannot tell a time-out that grew from a record that began to age anew. EP1303 has the age of the record that decides, the time-out in force and the length of a round; metrics give the bytes of membership messages and the length of a round. Nothing is decided differently.

--- a/ebonypick/events.py
+++ b/ebonypick/events.py
@@ -176,7 +176,14 @@
     'backends',
 )
 MEMBER_CHANGED = define(
-    'EP1303', 'An entry host changed its state.', 'member', 'state', 'why'
+    'EP1303',
+    'An entry host changed its state.',
+    'member',
+    'state',
+    'why',
+    'age_s',
+    'limit_s',
+    'round_s',
 )
 CONFIG_IN_FORCE = define(
     'EP1401',
--- a/ebonypick/process/_gossip.py
+++ b/ebonypick/process/_gossip.py
@@ -39,6 +39,7 @@
         self.exchanges = 0
         self.bytes_sent = 0
         self._round_bytes = 0
+        self._round_s = _membership.TICK_S
 
     @property
     def speaks(self):
@@ -79,7 +80,9 @@
         return reply
 
     def _count(self, *parts):
-        self._round_bytes += sum(len(part) + HEAD_BYTES for part in parts)
+        size = sum(len(part) + HEAD_BYTES for part in parts)
+        self._round_bytes += size
+        self._node.metrics.gossip_bytes.inc(size)
 
     def _encode(self, to_centre):
         message = self._membership.message(
@@ -119,19 +122,27 @@
         before = _members(old) if old else set()
         after = _members(view)
         for name in sorted(before - after):
-            state = 'leaving' if name in view.leaving else 'absent'
-            events.MEMBER_CHANGED.log(member=name, state=state, why='gossip')
+            self._log_change(
+                name, 'leaving' if name in view.leaving else 'absent'
+            )
         for name in sorted(after - before):
-            events.MEMBER_CHANGED.log(member=name, state='live', why='gossip')
+            self._log_change(name, 'live')
         cut_off = old.cut_off if old else frozenset()
         for name in sorted(view.cut_off - cut_off):
-            events.MEMBER_CHANGED.log(
-                member=name, state='without servers', why='gossip'
-            )
+            self._log_change(name, 'without servers')
         for name in sorted(cut_off - view.cut_off):
-            events.MEMBER_CHANGED.log(
-                member=name, state='with servers', why='gossip'
-            )
+            self._log_change(name, 'with servers')
+
+    def _log_change(self, name, state):
+        age_s, limit_s = self._membership.record_age(name, time.monotonic())
+        events.MEMBER_CHANGED.log(
+            member=name,
+            state=state,
+            why='gossip',
+            age_s=age_s,
+            limit_s=limit_s,
+            round_s=round(self._round_s, 3),
+        )
 
     async def run(self):
         """Exchange messages until cancelled."""
@@ -147,7 +158,9 @@
         slowness = self._membership.slowness
         slowness += SMOOTHING * (factor - slowness)
         self._membership.slowness = max(1.0, slowness)
-        return _membership.TICK_S * self._membership.slowness
+        self._round_s = _membership.TICK_S * self._membership.slowness
+        self._node.metrics.gossip_round.set(self._round_s)
+        return self._round_s
 
     async def tick(self):
         """Start one round of exchanges."""
--- a/ebonypick/process/_membership.py
+++ b/ebonypick/process/_membership.py
@@ -377,6 +377,35 @@
             frozenset(cut_off),
         )
 
+    def record_age(self, name, now):
+        """Return how old the record that decides about a host is.
+
+        Returns
+        =======
+        age_s, limit_s : float or None
+            Its age, or that of the digest of the host's data centre, and the
+            time-out that applies to it; None without one.
+        """
+        if name in self._siblings():
+            received = self._hosts.get(name)
+            limit_s = self._max_record_age_s(SUSPECT_S, len(self._hosts))
+        else:
+            received = max(
+                (
+                    item
+                    for (centre, _), item in self._speakers.items()
+                    if name in self._centres.get(centre, ())
+                ),
+                key=lambda item: item.at,
+                default=None,
+            )
+            limit_s = self._max_record_age_s(
+                CENTRE_SUSPECT_S, len(self._speakers)
+            )
+        if received is None:
+            return None, None
+        return round(now - received.at, 3), round(limit_s, 3)
+
     def loads_of(self, service, now):
         """Return the loads of a service that other hosts reported.
 
--- a/ebonypick/process/_metrics.py
+++ b/ebonypick/process/_metrics.py
@@ -92,6 +92,16 @@
             'Number of the configuration in force.',
             registry=self.registry,
         )
+        self.gossip_bytes = prometheus_client.Counter(
+            'ebonypick_gossip_bytes',
+            'Bytes of membership messages, sent and received.',
+            registry=self.registry,
+        )
+        self.gossip_round = prometheus_client.Gauge(
+            'ebonypick_gossip_round_seconds',
+            'Time between two rounds of membership messages.',
+            registry=self.registry,
+        )
         self.link_bytes = prometheus_client.Counter(
             'ebonypick_link_bytes',
             'Bytes sent to another region.',
