Let signs of life age on their way, and pace them apart from other records

Callers saw look-ups name a host 7.4 s after it had lost power, and live hosts were left out where there were many.

Cause: the time-out of a record was multiplied by the slowness of the rounds, and rounds slowed down with all bytes of gossip. After crashes of servers the messages carried more, the time-out grew past the age of the lost host's record, and the host was live again. From 16 hosts on this held in calm. A record also began to age anew at each host that it reached.

Change: a record travels with its age, and the time-out is fixed: contact + 2 s. A host that did not answer two exchanges is lost earlier. Signs of life are packed into some 15 bytes, rounds are paced by their bytes alone and take at most 1 s, and records of limits and crashes get what is left of the budget. The host not heard of for longest is asked first. A host that was not running gives others time again, once; one that has just started trusts the list in the store for less than contact, and makes no digest before it has heard of its data centre. Hosts of earlier releases get and give the records as before.

The test of a hundred hosts at a slow pace set the slowness that is gone; it plays the slowest pace there is now, and checks more often. Its time-out is that of a contact of 5 s, as the users' largest site has it, in place of 67 s.

--- a/ebonypick/events.py
+++ b/ebonypick/events.py
@@ -182,7 +182,6 @@
     'state',
     'why',
     'age_s',
-    'limit_s',
     'round_s',
 )
 CONFIG_IN_FORCE = define(
--- a/ebonypick/experiment/_cases.py
+++ b/ebonypick/experiment/_cases.py
@@ -16,7 +16,7 @@
 BASELINES = ('perfect', 'two-choices', 'round-robin', 'random', 'fixed-shares')
 WARM_UP_S = 2.0
 # Seconds without messages after which entry hosts suspect another one.
-SUSPECT_S = process.SUSPECT_S
+SUSPECT_S = process.SUSPECT_SHARE * process.LIFE_S
 REFUSAL_DETECTION_S = 0.05
 REPORT_LAG_S = 10.0
 LOADS = (0.5, 0.8, 0.95, 1.1)
--- a/ebonypick/process/__init__.py
+++ b/ebonypick/process/__init__.py
@@ -7,8 +7,9 @@
 from ebonypick.process._gossip_messages import Message
 from ebonypick.process._links import make_budgets
 from ebonypick.process._membership import Membership
-from ebonypick.process._membership import SUSPECT_S
 from ebonypick.process._membership import View
+from ebonypick.process._observations import LIFE_S
+from ebonypick.process._observations import SUSPECT_SHARE
 from ebonypick.process._ownership import make_layout
 from ebonypick.process._settings import Endpoint
 from ebonypick.process._settings import load_settings
@@ -19,9 +20,10 @@
     'Endpoint',
     'EntryHost',
     'HostRecord',
+    'LIFE_S',
     'Membership',
     'Message',
-    'SUSPECT_S',
+    'SUSPECT_SHARE',
     'Settings',
     'View',
     'load_settings',
--- a/ebonypick/process/_crash_reports.py
+++ b/ebonypick/process/_crash_reports.py
@@ -7,9 +7,6 @@
 from ebonypick.process import _gossip_messages
 from ebonypick import request
 
-# Records in one gossip message, some 100 bytes each.
-MAX_CRASH_RECORDS = 8
-
 
 class CrashReports:
     """What hosts know of requests that backend servers crashed with.
@@ -73,13 +70,13 @@
 
     # Methods that gossip calls.
 
-    def to_send(self):
-        """Return records for a message to another host."""
+    def to_send(self, count):
+        """Return at most so many records for a message to another host."""
         return tuple(
             _gossip_messages.CrashMessage(
                 digest, record.turn, tuple(sorted(record.crashed))
             )
-            for digest, record in self._quarantine.to_send(MAX_CRASH_RECORDS)
+            for digest, record in self._quarantine.to_send(count)
         )
 
     def receive(self, messages, source):
@@ -101,7 +98,7 @@
 class NoCrashReports:
     """Stands in on hosts that record no crashes."""
 
-    def to_send(self):
+    def to_send(self, count):
         """Return no records."""
         return ()
 
--- a/ebonypick/process/_entry_host.py
+++ b/ebonypick/process/_entry_host.py
@@ -17,6 +17,7 @@
 from ebonypick.process import _control
 from ebonypick.process import _crash_reports
 from ebonypick.process import _gossip
+from ebonypick.process import _gossip_pace
 from ebonypick.process import _host_connections
 from ebonypick.process import _layouts
 from ebonypick.process import _links
@@ -235,7 +236,7 @@
     def receive_revisions(self, revisions, source):
         """Ignore the table revisions of peers, which are not used here."""
 
-    def limits_to_send(self):
+    def limits_to_send(self, count):
         """Return no limits: backend servers of this interface name none."""
         return ()
 
@@ -319,7 +320,7 @@
         await self.gossip.announce()
         if self.board.version is not None:
             ttl_ms = self.board.version.cfg.base.lookup_ttl_ms
-            await asyncio.sleep(ttl_ms / 1000 + _membership.TICK_S)
+            await asyncio.sleep(ttl_ms / 1000 + _gossip_pace.MIN_ROUND_S)
         await self._server.stop_listening(keep_new=True)
         stopped_at = time.monotonic()
         while self._has_callers(time.monotonic() - stopped_at):
--- a/ebonypick/process/_gossip.py
+++ b/ebonypick/process/_gossip.py
@@ -10,16 +10,18 @@
 from ebonypick import events
 from ebonypick import json_text
 from ebonypick.process import _gossip_messages
-from ebonypick.process import _membership
+from ebonypick.process import _gossip_pace
 
 EXCHANGE_TIMEOUT_S = 0.8
-# Budget of the exchanges for bytes sent and received, including HTTP headers.
-BYTES_PER_S = 4_500
-HEAD_BYTES = 220
-SMOOTHING = 0.2
+# The HTTP head of a message and the headers of its TCP segment.
+HEAD_BYTES = 130
+# The view is evaluated at least as often, also between two rounds.
+VIEW_INTERVAL_S = 0.5
 # Number of hosts to which urgent news are sent at once; the next rounds carry
 # them to the others.
 SPREAD_FANOUT = 16
+# Urgent news of this time are sent together.
+SPREAD_INTERVAL_S = 0.25
 
 
 class GossipTask:
@@ -38,8 +40,9 @@
         self._membership = membership
         self.exchanges = 0
         self.bytes_sent = 0
-        self._round_bytes = 0
-        self._round_s = _membership.TICK_S
+        self._pace = _gossip_pace.Pace(time.monotonic())
+        self._round_s = _gossip_pace.MIN_ROUND_S
+        self._spreads_at = float('-inf')
 
     @property
     def speaks(self):
@@ -75,26 +78,40 @@
         """Apply a peer's encoded message; return the encoded reply."""
         message = json_text.decode(data, _gossip_messages.Message)
         self._apply(message, message.sender)
-        reply = self._encode(message.data_centre)
-        self._count(data, reply)
-        return reply
+        self._count(data, message)
+        return self._encode(
+            message.sender, message.data_centre, answered=message
+        )
 
-    def _count(self, *parts):
-        size = sum(len(part) + HEAD_BYTES for part in parts)
-        self._round_bytes += size
+    def _count(self, data, message):
+        size = len(data) + HEAD_BYTES
+        record_bytes = (
+            len(message.limits) * _gossip_pace.LIMIT_BYTES
+            + len(message.crashes) * _gossip_pace.CRASH_BYTES
+        )
+        self._pace.count(size, record_bytes, time.monotonic())
         self._node.metrics.gossip_bytes.inc(size)
 
-    def _encode(self, to_centre):
+    def _encode(self, partner, to_centre, answered=None, urgent=False):
+        now = time.monotonic()
+        limits, crashes = _gossip_pace.MAX_LIMITS, _gossip_pace.MAX_CRASHES
+        if not urgent:
+            spare = not self._membership.is_burdened(partner, now)
+            limits, crashes = self._pace.records(now, spare)
         message = self._membership.message(
             to_centre,
             self._node.board.number,
             self._node.board.platform_now(),
-            time.monotonic(),
+            now,
             self._node.table_revisions(),
-            self._node.limits_to_send(),
-            self._node.crashes.to_send(),
+            self._node.limits_to_send(limits),
+            self._node.crashes.to_send(crashes),
+            partner,
+            answered,
         )
-        return msgspec.json.encode(message)
+        data = msgspec.json.encode(message)
+        self._count(data, message)
+        return data
 
     def _apply(self, message, source):
         self._membership.receive(message, time.monotonic())
@@ -134,13 +151,11 @@
             self._log_change(name, 'with servers')
 
     def _log_change(self, name, state):
-        age_s, limit_s = self._membership.record_age(name, time.monotonic())
         events.MEMBER_CHANGED.log(
             member=name,
             state=state,
             why='gossip',
-            age_s=age_s,
-            limit_s=limit_s,
+            age_s=self._membership.sign_age_s(name, time.monotonic()),
             round_s=round(self._round_s, 3),
         )
 
@@ -148,25 +163,19 @@
         """Exchange messages until cancelled."""
         while True:
             await self.tick()
-            await asyncio.sleep(self._pause_s())
-
-    def _pause_s(self):
-        """Return the pause after a round that keeps the byte budget."""
-        wanted_s = max(_membership.TICK_S, self._round_bytes / BYTES_PER_S)
-        self._round_bytes = 0
-        factor = wanted_s / _membership.TICK_S
-        slowness = self._membership.slowness
-        slowness += SMOOTHING * (factor - slowness)
-        self._membership.slowness = max(1.0, slowness)
-        self._round_s = _membership.TICK_S * self._membership.slowness
-        self._node.metrics.gossip_round.set(self._round_s)
-        return self._round_s
+            self._round_s = self._pace.next_pause_s()
+            self._node.metrics.gossip_round.set(self._round_s)
+            rest_s = self._round_s
+            while rest_s > 0:
+                await asyncio.sleep(min(rest_s, VIEW_INTERVAL_S))
+                rest_s -= VIEW_INTERVAL_S
+                self._publish()
 
     async def tick(self):
         """Start one round of exchanges."""
         membership = self._membership
         membership.loads = self._node.own_loads()
-        targets = membership.tick(time.monotonic())
+        targets = membership.tick(time.monotonic(), self._pace.strained)
         if self._node.board.version is None:
             targets = tuple(self._node.connections.seeds)
         for name in targets:
@@ -183,16 +192,26 @@
         )
 
     def spread(self):
-        """Exchange messages with some hosts now, ahead of the next round."""
+        """Exchange messages with some hosts soon, ahead of the next round."""
+        now = time.monotonic()
+        if self._spreads_at > now:
+            return
+        wait_s = max(0.0, self._spreads_at + SPREAD_INTERVAL_S - now)
+        self._spreads_at = now + wait_s
+        self._node.tasks.start(self._spread_after(wait_s))
+
+    async def _spread_after(self, wait_s):
+        await asyncio.sleep(wait_s)
         names = list(self._node.connections.peers)
         for name in random.sample(names, min(SPREAD_FANOUT, len(names))):
-            self._node.tasks.start(self._exchange(name))
+            self._node.tasks.start(self._exchange(name, urgent=True))
 
-    async def _exchange(self, name):
+    async def _exchange(self, name, urgent=False):
         peer = self._node.connections.peer(name)
         if peer is None:
             return
-        data = self._encode(self._node.centre_of(name))
+        started_at = time.monotonic()
+        data = self._encode(name, self._node.centre_of(name), urgent=urgent)
         self.exchanges += 1
         self.bytes_sent += len(data)
         try:
@@ -202,17 +221,16 @@
                 data,
                 timeout_s=EXCHANGE_TIMEOUT_S,
             )
-            self._count(data, body)
             if status == 200:
                 found = json_text.decode(body, _gossip_messages.Message)
+                self._count(body, found)
                 self._apply(found, name)
-        except (
-            connection.ConnectFailedError,
-            connection.LostError,
-            msgspec.MsgspecError,
-        ) as exc:
-            # One failed exchange does not make a host suspect. Only the age
-            # of its records does.
+        except (connection.ConnectFailedError, connection.LostError) as exc:
+            # One failed exchange does not make a host suspect, only together
+            # with the age of its last sign.
+            self._membership.note_unanswered(name, started_at)
+            events.GOSSIP_FAILED.log(member=name, why=repr(exc))
+        except msgspec.MsgspecError as exc:
             events.GOSSIP_FAILED.log(member=name, why=repr(exc))
 
 
--- a/ebonypick/process/_gossip_messages.py
+++ b/ebonypick/process/_gossip_messages.py
@@ -32,6 +32,9 @@
         Free slots, waiting requests and all slots, by service.
     cut_off : bool
         Whether the host reaches no backend server.
+    age_ds : int, optional
+        Time since the host made the record, in tenths of a second. Hosts of
+        earlier releases do not tell it.
     """
 
     host: str
@@ -40,6 +43,12 @@
     leaving: bool
     loads: dict[str, Loads]
     cut_off: bool = False
+    age_ds: json_text.Whole | None = None
+
+    @property
+    def key(self):
+        """What identifies its author."""
+        return self.host
 
     @property
     def order(self):
@@ -64,6 +73,15 @@
         service.
     cut_off : tuple of str
         Entry hosts of the data centre that reach no backend server.
+    age_ds : int, optional
+        Time since the speaker made the digest, in tenths of a second. Hosts
+        of earlier releases do not tell it.
+    oldest_ds : int, optional
+        Age of the oldest record that the speaker had of a live host, in
+        tenths of a second, but for those in ``late``.
+    late : tuple of (str, int)
+        Live entry hosts of which the speaker had an old record, with its age
+        in tenths of a second.
     """
 
     data_centre: str
@@ -74,6 +92,14 @@
     leaving: tuple[str, ...]
     loads: dict[str, Loads]
     cut_off: tuple[str, ...] = ()
+    age_ds: json_text.Whole | None = None
+    oldest_ds: json_text.Whole | None = None
+    late: tuple[tuple[str, json_text.Whole], ...] = ()
+
+    @property
+    def key(self):
+        """What identifies its author."""
+        return self.data_centre, self.speaker
 
     @property
     def order(self):
@@ -122,6 +148,48 @@
     ]
 
 
+# Place of a host, difference of its incarnation to that of the sender, beat,
+# age of the record in tenths of a second, flags.
+PackedHost = tuple[
+    json_text.Whole,
+    json_text.Integer,
+    json_text.Whole,
+    json_text.Whole,
+    json_text.Whole,
+]
+# Place of a host of a digest, flags, age of its record in tenths of a second.
+PackedException = tuple[json_text.Whole, json_text.Whole, json_text.Whole]
+# Place, incarnation, beat and age of the speaker's record, age of the oldest
+# other one, and hosts that are not simply alive.
+PackedCentre = tuple[
+    json_text.Whole,
+    json_text.Integer,
+    json_text.Whole,
+    json_text.Whole,
+    json_text.Whole,
+    tuple[PackedException, ...],
+]
+
+
+class Signs(msgspec.Struct, frozen=True, array_like=True):
+    """Host records and digests in a few bytes; see ``_packed_signs``.
+
+    Parameters
+    ==========
+    checksum : int
+        Of the host names that the sender knows.
+    incarnation : int
+        Of the sender.
+    hosts, centres : tuple
+        The packed records and digests.
+    """
+
+    checksum: json_text.Whole
+    incarnation: json_text.Whole
+    hosts: tuple[PackedHost, ...] = ()
+    centres: tuple[PackedCentre, ...] = ()
+
+
 class Message(msgspec.Struct, frozen=True, array_like=True):
     """A gossip message from one entry host to another.
 
@@ -145,6 +213,9 @@
         Some of the limits of backend servers that the sender knows.
     crashes : tuple of CrashMessage
         Some of the requests that servers crashed with.
+    signs : Signs, optional
+        Records and digests beside ``hosts`` and ``centres``. A host of an
+        earlier release neither sends nor reads them.
     """
 
     sender: str
@@ -156,3 +227,4 @@
     revisions: dict[str, platform.Revision] = {}
     limits: tuple[LimitRecord, ...] = ()
     crashes: tuple[CrashMessage, ...] = ()
+    signs: Signs | None = None
--- a/ebonypick/process/_membership.py
+++ b/ebonypick/process/_membership.py
@@ -1,30 +1,32 @@
 """Gossip membership: full within a data centre, digests between them.
 
-Hosts of a data centre exchange their records with a few others at a time.
-Two of them, chosen by rendezvous hashing, are the speakers, which exchange
-digests with other data centres. A record is ordered by its author's
-incarnation and a beat that only the author increments, so records may arrive
-over any path, late or repeatedly, and the newest wins.
+Hosts of a data centre exchange their records with one another, the one not
+heard of for longest first. Two of them, chosen by rendezvous hashing, are the
+speakers, which exchange digests with other data centres. A record is ordered
+by its author's incarnation and a beat that only the author increments, so
+records may arrive over any path, late or repeatedly, and the newest wins.
 """
 
+import collections
 import dataclasses
 
 from ebonypick.process import _gossip_messages
+from ebonypick.process import _observations
+from ebonypick.process import _packed_signs
+from ebonypick.process import _record_choice
 from ebonypick import request
 
-TICK_S = 0.5
-SUSPECT_S = 2.0
-CENTRE_SUSPECT_S = 2.5
-NEAR_FANOUT = 2
-FAR_FANOUT = 3
+# Older records are not passed on to a host of an earlier release, which lets
+# them age anew, and what it passes on counts as this old.
+RELAYED_AGE_S = 2.0
 SPEAKERS_PER_CENTRE = 2
+# Records with loads in a message, and records for earlier releases.
 MAX_RECORDS = 12
-# A host that could not be reached gets no work for this time.
-FAILED_HOST_S = 1.0
+MAX_DIGESTS = 32
 # What a host of another data centre announced of itself, a planned stop or
 # that it reaches no backend server, holds for this time. By then the digests
 # of its data centre report it, or its records have timed out.
-ANNOUNCED_S = CENTRE_SUSPECT_S
+ANNOUNCED_S = 2.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -46,12 +48,6 @@
     cut_off: frozenset = frozenset()
 
 
-@dataclasses.dataclass
-class _ReceivedRecord:
-    record: object
-    at: float
-
-
 class Membership:
     """One entry host's membership state, as a state machine without I/O.
 
@@ -64,27 +60,30 @@
         back.
     rng : random.Random
         Chooses the hosts to exchange messages with.
+    life_s : float
+        Age of its last sign at which a host counts as lost, in seconds.
     """
 
-    def __init__(self, host, data_centre, incarnation, rng):
+    def __init__(
+        self, host, data_centre, incarnation, rng, life_s=_observations.LIFE_S
+    ):
         self.host = host
         self.data_centre = data_centre
         self.leaving = False
         self.cut_off = False
         self.loads = {}
-        # Ratio of the length of a round to TICK_S. It exceeds 1 where the
-        # byte budget slows the rounds down, and suspicion time-outs scale
-        # with it.
-        self.slowness = 1.0
+        self._life_s = life_s
         self._incarnation = incarnation
         self._beat = 0
+        self._asked_again = set()
+        self._round = 0
         self._rng = rng
-        self._centres = {data_centre: (host,)}
-        self._hosts = {}
-        self._speakers = {}
-        self._failed = {}
-        # What hosts of other data centres said of themselves.
-        self._announced = {}
+        self._known = _observations.Observations(host, data_centre, life_s)
+        # When a host or a data centre was last chosen for an exchange.
+        self._tried = {}
+        # The checksum of host names in the last message of a host, None for
+        # a host of an earlier release.
+        self._checksums = {}
         # Until when all messages tell whether this host is cut off.
         self._announces_until = float('-inf')
 
@@ -96,123 +95,113 @@
         centres : dict of str to tuple of str
             Names of all configured entry hosts.
         """
-        self._centres = dict(centres)
-        siblings = self._centres.get(self.data_centre, ())
-        self._hosts = {
-            name: received
-            for name, received in self._hosts.items()
-            if name in siblings
-        }
-        listed = {name for names in centres.values() for name in names}
-        self._announced = {
-            name: received
-            for name, received in self._announced.items()
-            if name in listed
-        }
-        self._speakers = {
-            key: received
-            for key, received in self._speakers.items()
-            if key[1] in self._centres.get(key[0], ())
-        }
-
-    def _siblings(self):
-        names = self._centres.get(self.data_centre, ())
-        return [name for name in names if name != self.host]
+        self._known.configure(centres)
+        listed = self._known.index.centre.keys()
+        for name in self._checksums.keys() - listed:
+            del self._checksums[name]
+        for name in self._tried.keys() - listed - centres.keys():
+            del self._tried[name]
+
+    def _speakers(self, now):
+        return request.rendezvous(
+            self.data_centre, self._known.alive_here(now), SPEAKERS_PER_CENTRE
+        )
 
-    def _is_fresh(self, received, name, limit_s, now):
-        if received is None or now - received.at > limit_s:
-            return False
-        return not self._has_failed(name, now)
+    def is_speaker(self, now):
+        """Return whether this host is a speaker of its data centre."""
+        return self.host in self._speakers(now)
 
-    def _max_record_age_s(self, limit_s, authors):
-        """Return a limit of a record's age, scaled to its propagation.
+    def is_burdened(self, partner, now):
+        """Return whether a host has more messages than this one.
 
-        A round takes longer where the byte budget is exhausted, and a record
-        waits for more rounds where one message cannot hold all records.
+        It is a speaker, and this one is not.
         """
-        rounds = max(1.0, authors / MAX_RECORDS)
-        return limit_s * self.slowness * rounds
+        speakers = self._speakers(now)
+        return partner in speakers and self.host not in speakers
 
-    def _has_failed(self, name, now):
-        return now < self._failed.get(name, now)
-
-    def _sibling_alive(self, name, now):
-        limit_s = self._max_record_age_s(SUSPECT_S, len(self._hosts))
-        return self._is_fresh(self._hosts.get(name), name, limit_s, now)
-
-    def _alive_here(self, now):
-        names = [n for n in self._siblings() if self._sibling_alive(n, now)]
-        return sorted([*names, self.host])
-
-    def is_speaker(self, now):
-        """Return whether this host is a speaker of its data centre."""
-        alive = self._alive_here(now)
-        return self.host in request.rendezvous(
-            self.data_centre, alive, SPEAKERS_PER_CENTRE
-        )
+    # What happens to this host.
 
     def leave(self):
-        """Begin a planned stop; all later messages announce it.
-
-        The beat is incremented, since other hosts may already have a record
-        of the current one, which would hide the announcement.
-        """
+        """Begin a planned stop; all later messages announce it."""
         self.leaving = True
-        self._beat += 1
 
     def set_cut_off(self, cut_off, now):
-        """Set whether this host reaches no backend server.
-
-        The beat is incremented for the same reason as in ``leave``.
-        """
+        """Set whether this host reaches no backend server."""
         self.cut_off = cut_off
         self._announces_until = float('inf') if cut_off else now + ANNOUNCED_S
-        self._beat += 1
 
-    def tick(self, now):
-        """Increment the beat; return the hosts to exchange messages with."""
-        self._beat += 1
-        siblings = self._siblings()
-        count = min(self._fanout(NEAR_FANOUT), len(siblings))
-        chosen = self._rng.sample(siblings, count)
-        stalest = self._stalest_live_sibling(now)
-        if stalest is not None and stalest not in chosen:
-            chosen[0] = stalest
-        if not self.is_speaker(now):
-            return tuple(chosen)
-        centres = sorted(n for n in self._centres if n != self.data_centre)
-        count = min(self._fanout(FAR_FANOUT), len(centres))
-        for centre in self._rng.sample(centres, count):
-            chosen.append(self._contact(centre, now))
-        return tuple(name for name in chosen if name is not None)
+    def note_unreachable(self, host, now):
+        """Note that a host could not be reached."""
+        self._known.note_unreachable(host, now)
 
-    def _stalest_live_sibling(self, now):
-        """Return the live sibling with the oldest record, if that is old.
+    def note_unanswered(self, host, started_at):
+        """Note that a host did not answer an exchange begun at a time.
 
-        A record is old after half of the suspicion time-out. The host is
-        then contacted directly, before it is suspected.
+        The next round asks it again, since one message may be lost.
         """
-        limit_s = self._max_record_age_s(SUSPECT_S, len(self._hosts))
-        received = [
-            (item.at, name)
-            for name, item in self._hosts.items()
-            if limit_s / 2 < now - item.at <= limit_s
-        ]
-        return min(received)[1] if received else None
+        if self._known.note_unanswered(host, started_at):
+            self._asked_again.add(host)
+
+    # Rounds.
 
-    def _fanout(self, limit):
-        """Return the number of hosts to contact, one if rounds are slow."""
-        return limit if self.slowness <= 1 else 1
+    def tick(self, now, strained=False):
+        """Begin a round; return the hosts to exchange messages with.
+
+        Parameters
+        ==========
+        now : float
+            Monotonic time in seconds.
+        strained : bool
+            Whether there are bytes for one exchange only. Speakers then
+            exchange messages within their data centre and with others by
+            turns.
+        """
+        self._known.notice_pause(now)
+        chosen = []
+        siblings = self._known.siblings()
+        if siblings:
+            chosen.append(self._stalest(siblings, self._known.hosts.at, now))
+        others = [
+            centre
+            for centre, names in self._known.centres.items()
+            if centre != self.data_centre and names
+        ]
+        if others and self.is_speaker(now):
+            heard_at = collections.defaultdict(lambda: float('-inf'))
+            for (centre, _), sign in self._known.digests.items():
+                heard_at[centre] = max(heard_at[centre], sign.at)
+            centre = self._stalest(others, heard_at.__getitem__, now)
+            chosen.append(self._contact(centre, now))
+        if strained and chosen:
+            self._round += 1
+            chosen = [chosen[self._round % len(chosen)]]
+        again, self._asked_again = self._asked_again, set()
+        return (*chosen, *sorted(again - set(chosen)))
+
+    def _stalest(self, names, heard_at, now):
+        """Return the one that was heard of or tried longest ago."""
+        chosen = min(
+            names,
+            key=lambda name: (
+                max(heard_at(name), self._tried.get(name, float('-inf'))),
+                self._rng.random(),
+            ),
+        )
+        self._tried[chosen] = now
+        return chosen
 
     def _contact(self, centre, now):
-        """Return a host of another data centre, preferably a live one."""
-        names = self._centres[centre]
-        alive = [n for n in names if not self._has_failed(n, now)]
+        """Return a host of another data centre, preferably a speaker."""
+        names = self._known.centres[centre]
+        digest = self._known.newest_digests(now).get(centre)
+        alive = self._known.far_alive(centre, digest, now) if digest else ()
         # Every fifth time any host may be chosen, so that a stale view
         # recovers.
         if alive and self._rng.random() < 0.8:
-            names = alive
-        return self._rng.choice(names) if names else None
+            names = request.rendezvous(centre, alive, SPEAKERS_PER_CENTRE)
+        return self._rng.choice(names)
+
+    # Messages.
 
     def _own_record(self):
         return _gossip_messages.HostRecord(
@@ -222,44 +211,9 @@
             self.leaving,
             dict(self.loads),
             self.cut_off,
+            0,
         )
 
-    def _own_centre_record(self, now):
-        records = [self._own_record()]
-        absent = []
-        for name in self._siblings():
-            if self._sibling_alive(name, now):
-                records.append(self._hosts[name].record)
-            else:
-                absent.append(name)
-        loads = {}
-        for record in records:
-            for service, load in record.loads.items():
-                known = loads.get(service, (0, 0, 0))
-                loads[service] = tuple(a + b for a, b in zip(known, load))
-        return _gossip_messages.CentreRecord(
-            self.data_centre,
-            self.host,
-            self._incarnation,
-            self._beat,
-            tuple(absent),
-            tuple(r.host for r in records if r.leaving),
-            loads,
-            tuple(r.host for r in records if r.cut_off),
-        )
-
-    def _select(self, table, limit_s, now):
-        """Return a bounded number of records to send, newest first.
-
-        Where not all fit, a random sample is sent. If the newest were always
-        preferred, the others would never be sent and time out.
-        """
-        fresh = [h for h in table.values() if now - h.at <= limit_s]
-        if len(fresh) > MAX_RECORDS:
-            fresh = self._rng.sample(fresh, MAX_RECORDS)
-        fresh.sort(key=lambda received: received.at, reverse=True)
-        return [received.record for received in fresh]
-
     def message(
         self,
         to_centre,
@@ -269,51 +223,92 @@
         revisions=None,
         limits=(),
         crashes=(),
+        partner=None,
+        answered=None,
     ):
-        """Return the message to a host of a data centre."""
-        announces = self.leaving or now < self._announces_until
-        hosts = (self._own_record(),) if announces else ()
-        if to_centre == self.data_centre:
-            limit_s = self._max_record_age_s(SUSPECT_S, len(self._hosts))
-            rows = self._select(self._hosts, limit_s, now)
-            hosts = (self._own_record(), *rows)
-        limit_s = self._max_record_age_s(CENTRE_SUSPECT_S, len(self._speakers))
-        centres = self._select(self._speakers, limit_s, now)
-        if self.is_speaker(now):
-            centres.insert(0, self._own_centre_record(now))
+        """Return the message to a host of a data centre.
+
+        Parameters
+        ==========
+        partner : str, optional
+            The host, if it may read packed signs.
+        answered : Message, optional
+            The message to which this one is the reply.
+        """
+        self._known.notice_pause(now)
+        # A new beat, so that the receiver sees that this host lives now.
+        self._beat += 1
+        near = to_centre == self.data_centre
+        packs = self._checksums.get(partner) == self._known.index.checksum
+        max_age_s = self._life_s if packs else RELAYED_AGE_S
+        own = self._own_record()
+        hosts = []
+        if near or self.leaving or now < self._announces_until:
+            hosts.append(own)
+        if near:
+            hosts += _record_choice.relayed_hosts(self._known, max_age_s, now)
+        centres = []
+        speaks = not near or self.is_speaker(now)
+        if speaks and self._known.is_informed(now):
+            centres.append(_record_choice.make_digest(self._known, own, now))
+        if not self.is_burdened(partner, now):
+            # A speaker has newer ones.
+            centres += _record_choice.relayed_digests(
+                self._known, max_age_s, now
+            )
+        index = self._known.index
+        signs = _gossip_messages.Signs(index.checksum, self._incarnation)
+        if packs:
+            signs = _packed_signs.pack(
+                index,
+                self._incarnation,
+                hosts,
+                _record_choice.sample(centres, MAX_DIGESTS, self._rng),
+                answered,
+            )
+            hosts = _record_choice.with_loads(
+                hosts, self._known.host_loads, now
+            )
+            centres = _record_choice.with_loads(
+                centres, self._known.centre_loads, now
+            )
         return _gossip_messages.Message(
             self.host,
             self.data_centre,
             version,
             platform_s,
-            hosts,
-            tuple(centres),
+            _record_choice.sample(hosts, MAX_RECORDS, self._rng),
+            _record_choice.sample(centres, MAX_RECORDS, self._rng),
             revisions or {},
             limits,
             crashes,
+            signs,
         )
 
     def receive(self, message, now):
-        """Apply a message of another host."""
-        siblings = self._centres.get(self.data_centre, ())
-        for record in message.hosts:
+        """Apply a message of another host.
+
+        Raises
+        ======
+        msgspec.ValidationError
+            If its packed signs cannot be read.
+        """
+        self._known.notice_pause(now)
+        hosts, centres = (), ()
+        signs = message.signs
+        if signs is not None and signs.checksum == self._known.index.checksum:
+            hosts, centres = _packed_signs.unpack(self._known.index, signs)
+        if message.sender in self._known.index.centre:
+            self._checksums[message.sender] = signs and signs.checksum
+        for record in (*message.hosts, *hosts):
             if record.host == self.host:
                 self._refute(record)
-            elif record.host in siblings:
-                self._store_if_newer(self._hosts, record.host, record, now)
-            else:
-                self._store_if_newer(self._announced, record.host, record, now)
-        for record in message.centres:
-            if record.data_centre == self.data_centre:
                 continue
-            if record.speaker in self._centres.get(record.data_centre, ()):
-                key = (record.data_centre, record.speaker)
-                self._store_if_newer(self._speakers, key, record, now)
-
-    def _store_if_newer(self, table, key, record, now):
-        known = table.get(key)
-        if known is None or record.order > known.record.order:
-            table[key] = _ReceivedRecord(record, now)
+            age_s = _age_s(record, record.host, message.sender)
+            self._known.receive_host(record, now - age_s)
+        for record in (*message.centres, *centres):
+            age_s = _age_s(record, record.speaker, message.sender)
+            self._known.receive_digest(record, now - age_s)
 
     def _refute(self, record):
         """Raise the incarnation above records of an earlier start.
@@ -323,51 +318,34 @@
         if record.incarnation > self._incarnation:
             self._incarnation = record.incarnation + 1
 
-    def note_unreachable(self, host, now):
-        """Note that a host could not be reached."""
-        self._failed[host] = now + FAILED_HOST_S
-
-    def _newest(self, now):
-        """Return each data centre's newest digest and live speakers."""
-        limit_s = self._max_record_age_s(CENTRE_SUSPECT_S, len(self._speakers))
-        found = {}
-        for (centre, speaker), received in self._speakers.items():
-            if not self._is_fresh(received, speaker, limit_s, now):
-                continue
-            newest, speakers = found.get(centre, (received, set()))
-            speakers.add(speaker)
-            if received.at > newest.at:
-                newest = received
-            found[centre] = (newest, speakers)
-        return found
+    # What other tasks read.
 
     def view(self, now):
         """Return the current view."""
-        alive = {}
-        here = self._alive_here(now)
-        records = [self._hosts[n].record for n in here if n != self.host]
-        records.append(self._own_record())
+        self._known.notice_pause(now)
+        alive = {self.data_centre: self._known.alive_here(now)}
+        records = [self._own_record()]
+        records += [
+            self._known.hosts.get(name).record
+            for name in alive[self.data_centre]
+            if name != self.host
+        ]
         records += [
-            received.record
-            for received in self._announced.values()
-            if now < received.at + ANNOUNCED_S
+            sign.record
+            for _, sign in self._known.announced.items()
+            if now < sign.at + ANNOUNCED_S
         ]
         leaving = {record.host for record in records if record.leaving}
         cut_off = {record.host for record in records if record.cut_off}
-        alive[self.data_centre] = here
-        newest = self._newest(now)
-        for centre, names in self._centres.items():
-            if centre == self.data_centre:
-                continue
-            if centre not in newest:
+        newest = self._known.newest_digests(now)
+        for centre in self._known.centres.keys() - {self.data_centre}:
+            digest = newest.get(centre)
+            if digest is None:
                 alive[centre] = []
                 continue
-            received, speakers = newest[centre]
-            leaving.update(received.record.leaving)
-            cut_off.update(received.record.cut_off)
-            absent = set(received.record.absent) - speakers
-            absent.update(n for n in names if self._has_failed(n, now))
-            alive[centre] = [n for n in names if n not in absent]
+            alive[centre] = self._known.far_alive(centre, digest, now)
+            leaving.update(digest.record.leaving)
+            cut_off.update(digest.record.cut_off)
         return View(
             {
                 centre: tuple(sorted(n for n in names if n not in leaving))
@@ -377,34 +355,10 @@
             frozenset(cut_off),
         )
 
-    def record_age(self, name, now):
-        """Return how old the record that decides about a host is.
-
-        Returns
-        =======
-        age_s, limit_s : float or None
-            Its age, or that of the digest of the host's data centre, and the
-            time-out that applies to it; None without one.
-        """
-        if name in self._siblings():
-            received = self._hosts.get(name)
-            limit_s = self._max_record_age_s(SUSPECT_S, len(self._hosts))
-        else:
-            received = max(
-                (
-                    item
-                    for (centre, _), item in self._speakers.items()
-                    if name in self._centres.get(centre, ())
-                ),
-                key=lambda item: item.at,
-                default=None,
-            )
-            limit_s = self._max_record_age_s(
-                CENTRE_SUSPECT_S, len(self._speakers)
-            )
-        if received is None:
-            return None, None
-        return round(now - received.at, 3), round(limit_s, 3)
+    def sign_age_s(self, name, now):
+        """Return the age of the last sign about a host, or None."""
+        at = self._known.sign_at(name)
+        return round(now - at, 3) if at > float('-inf') else None
 
     def loads_of(self, service, now):
         """Return the loads of a service that other hosts reported.
@@ -416,15 +370,22 @@
         centres : dict of str to tuple
             The summed loads by other data centre.
         """
+        known = self._known
         hosts = {
-            name: received.record.loads[service]
-            for name, received in self._hosts.items()
-            if self._sibling_alive(name, now)
-            and service in received.record.loads
+            name: known.loads_of(name)[service]
+            for name in known.alive_here(now)
+            if name != self.host and service in known.loads_of(name)
         }
         centres = {
-            centre: received.record.loads[service]
-            for centre, (received, _) in self._newest(now).items()
-            if service in received.record.loads
+            centre: loads[service]
+            for centre, loads in known.centre_loads_of(now).items()
+            if service in loads
         }
         return hosts, centres
+
+
+def _age_s(record, author, sender):
+    """Return the age of a received record in seconds."""
+    if record.age_ds is not None:
+        return record.age_ds / 10
+    return 0.0 if author == sender else RELAYED_AGE_S
--- a/ebonypick/process/_peer_directory.py
+++ b/ebonypick/process/_peer_directory.py
@@ -10,11 +10,6 @@
 from ebonypick import events
 from ebonypick import json_text
 
-# For this time after the start, all listed hosts count as alive, since their
-# gossip records have not arrived yet. It is longer than the suspicion time-out
-# of the membership.
-TRUST_S = 4.0
-
 # Callers are named the hosts of a region by their capacities relative to the
 # largest, in Mbit/s.
 MAX_CAPACITY = 1e6
--- a/ebonypick/process/_roster.py
+++ b/ebonypick/process/_roster.py
@@ -2,8 +2,8 @@
 
 import time
 
-from ebonypick.process import _peer_directory
 from ebonypick import request
+from ebonypick import spans
 
 # Number of hosts that read the store for their region; one of them may fail.
 READERS = 2
@@ -11,6 +11,10 @@
 # two readers among three hosts, the third would get no changes until it
 # noticed the failure of both.
 MAX_ALL_READERS = 3
+# After the start, all listed hosts count as alive until this time before
+# ``contact`` has passed, since their signs of life have not arrived yet. Some
+# may long be lost, and from then on look-ups must not name these.
+TRUST_MARGIN_S = 0.5
 
 
 def store_readers(region, hosts):
@@ -76,7 +80,9 @@
     def live(self):
         """Return the hosts that take requests, by data centre."""
         listed = self._node.connections.centres()
-        if time.monotonic() < self._started_at + _peer_directory.TRUST_S:
+        contact_s = spans.parse_span_s(self._node.settings.terms.contact)
+        trusted_until = self._started_at + contact_s - TRUST_MARGIN_S
+        if time.monotonic() < trusted_until:
             return listed
         view = self._node.board.view
         if view is None:
--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -47,8 +47,10 @@
 # Longer than hosts keep idle connections to each other, so that no request is
 # sent while its connection is being closed.
 RELAY_IDLE_S = 30.0
-# Limits of servers in one gossip message, some 40 bytes each.
-MAX_LIMIT_RECORDS = 12
+# Look-ups name no host for longer than this and ``contact`` after it is lost.
+LOST_HOST_S = 3.0
+# Time for the way of its last sign and until a look-up is answered.
+LOST_HOST_MARGIN_S = 1.0
 
 
 class SteeringHost:
@@ -94,6 +96,7 @@
                 settings.data_centre,
                 self.started_ms,
                 self._rng,
+                life_s(spans.parse_span_s(settings.terms.contact)),
             ),
         )
         self.store = connection.make_platform(
@@ -230,13 +233,13 @@
     def receive_platform_time(self, platform_s):
         """Ignore the platform time of peers, which is not used here."""
 
-    def limits_to_send(self):
-        """Return the limits of servers for a message to another host."""
+    def limits_to_send(self, count):
+        """Return at most so many limits of servers for another host."""
         return tuple(
             _gossip_messages.LimitRecord(
                 name, limit.started_ms, limit.turn, limit.per_s
             )
-            for name, limit in self.fleet.limits_to_send(MAX_LIMIT_RECORDS)
+            for name, limit in self.fleet.limits_to_send(count)
         )
 
     def receive_limits(self, limits, source):
@@ -371,6 +374,17 @@
             self.fleet.set_regions(settings.data_centres)
 
 
+def life_s(contact_s):
+    """Return the age of its last sign at which a host counts as lost.
+
+    Examples
+    ========
+    >>> life_s(contact_s=4.0)
+    6.0
+    """
+    return contact_s + LOST_HOST_S - LOST_HOST_MARGIN_S
+
+
 def make_steering_host(settings):
     """Return a steering host with the given settings, not yet started."""
     return SteeringHost(settings)
--- a/ebonypick/process/tests/gossip_play.py
+++ b/ebonypick/process/tests/gossip_play.py
@@ -19,12 +19,11 @@
 from ebonypick.process import _membership
 from ebonypick.process import _metrics
 from ebonypick.process import _roster
+from ebonypick.process import _steering_host
 
 NEAR_DELAY_S = 0.002
 FAR_DELAY_S = 0.055
 STEP_S = 0.1
-MAX_LIMITS = 12
-MAX_CRASHES = 8
 # Three tables of the store.
 REVISIONS = {
     name: platform.Revision(1, 12_345) for name in ('op', 'servers', 'hosts')
@@ -64,12 +63,17 @@
         self._target = target
 
     async def call_json(self, method, path, data=None, timeout_s=1.0):
-        """Deliver a message and return the reply."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                return 200, await self._exchange(data)
-        except TimeoutError as exc:
-            raise connection.LostError('no answer') from exc
+        """Deliver a message and return the reply, as ``connection.Pool``.
+
+        Where there is none, it is sent once more.
+        """
+        for _ in range(2):
+            try:
+                async with asyncio.timeout(timeout_s / 2):
+                    return 200, await self._exchange(data)
+            except TimeoutError:
+                continue
+        raise connection.LostError('no answer')
 
     async def _exchange(self, data):
         play = self._play
@@ -90,6 +94,7 @@
             data_centre=play.centre_of[name],
             data_centres=dict.fromkeys(play.centres, 'r'),
             region='r',
+            terms=types.SimpleNamespace(contact=f'{play.contact_s}s'),
         )
         self.board = _board.Board()
         self.board.publish(version=types.SimpleNamespace(number=1))
@@ -110,7 +115,11 @@
         self._running = set()
         self._play = play
         membership = _membership.Membership(
-            name, self.settings.data_centre, incarnation, random.Random(name)
+            name,
+            self.settings.data_centre,
+            incarnation,
+            random.Random(f"{name}{play.seed}"),
+            _steering_host.life_s(play.contact_s),
         )
         self.gossip = _gossip.GossipTask(self, membership)
         self.gossip.configure(play.centres)
@@ -146,22 +155,22 @@
         """Return the positions in the tables of the store."""
         return REVISIONS
 
-    def limits_to_send(self):
+    def limits_to_send(self, count):
         """Return as many limits of servers as the play has."""
         return tuple(
             _gossip_messages.LimitRecord(
                 f'i-{n:010x}', 1_781_173_562_000 + n, 2, 4.5
             )
-            for n in range(min(self._play.limits, MAX_LIMITS))
+            for n in range(min(self._play.limits, count))
         )
 
-    def to_send(self):
+    def to_send(self, count):
         """Return as many crash records as the play has."""
         return tuple(
             _gossip_messages.CrashMessage(
                 f'{n:032x}', 0, (f'i-{n:010x}/1781173562000',)
             )
-            for n in range(min(self._play.crashes, MAX_CRASHES))
+            for n in range(min(self._play.crashes, count))
         )
 
     def receive(self, messages, source):
@@ -187,11 +196,15 @@
     ==========
     sizes : sequence of int
         Number of hosts in each data centre.
+    contact_s : float
+        The users' time for a host to recover its contacts, in seconds.
     seed : int
         Seed of the network.
     """
 
-    def __init__(self, sizes, seed=1):
+    def __init__(self, sizes, contact_s=3.0, seed=1):
+        self.contact_s = contact_s
+        self.seed = seed
         self.loop = VirtualLoop()
         self.rng = random.Random(seed)
         self.centres = {
--- a/ebonypick/process/tests/test_limit_messages.py
+++ b/ebonypick/process/tests/test_limit_messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ebonypick.process import _gossip_messages
-from ebonypick.process import _steering_host
+from ebonypick.process import _gossip_pace
 from ebonypick import request
 
 REGIONS = {'a1': 'a'}
@@ -28,8 +28,8 @@
     for number in range(40):
         first.receive_limit(f's{number}', request.ServerLimit(5, 1, 2.0))
     for _ in range(30):
-        rows = first.limits_to_send(_steering_host.MAX_LIMIT_RECORDS)
-        assert len(rows) == _steering_host.MAX_LIMIT_RECORDS
+        rows = first.limits_to_send(_gossip_pace.MAX_LIMITS)
+        assert len(rows) == _gossip_pace.MAX_LIMITS
         for instance, limit in rows:
             second.receive_limit(instance, limit)
     assert second.limited_count == 40
--- a/ebonypick/process/tests/test_malformed_messages.py
+++ b/ebonypick/process/tests/test_malformed_messages.py
@@ -16,6 +16,7 @@
 from ebonypick.process import _gossip
 from ebonypick.process import _log_sink
 from ebonypick.process import _membership
+from ebonypick.process import _metrics
 from ebonypick.process import _peer_directory
 from ebonypick.process import _row_broadcast
 from ebonypick.process import _steering_control
@@ -56,7 +57,8 @@
         receive_platform_time=lambda *_: None,
         receive_limits=lambda *_: None,
         receive_cut_off=lambda host: None,
-        limits_to_send=tuple,
+        limits_to_send=lambda count: (),
+        metrics=_metrics.Metrics(),
         crashes=_crash_reports.NoCrashReports(),
     )
     membership = _membership.Membership('h', 'dc', 1, random.Random(1))
--- a/ebonypick/process/tests/test_membership.py
+++ b/ebonypick/process/tests/test_membership.py
@@ -7,7 +7,9 @@
 import pytest
 
 from ebonypick import process
+from ebonypick.process import _gossip_pace
 from ebonypick.process import _membership
+from ebonypick.process import _observations
 
 CENTRES = {
     'c1': ('a1', 'a2', 'a3'),
@@ -16,6 +18,10 @@
 }
 HOSTS = {name: centre for centre, names in CENTRES.items() for name in names}
 
+# With the ``contact`` of 5 s that the users' largest site has.
+LARGE_LIFE_S = 7.0
+SETTLED_S = 10.0
+
 
 class Net:
     """Memberships that exchange messages under scheduled faults."""
@@ -46,9 +52,13 @@
         return self.groups[one] == self.groups[other]
 
     def exchange(self, one, other):
-        if other not in self.members or other in self.paused:
-            return
-        if not self.reachable(one, other) or self.rng.random() < self.loss:
+        if (
+            other not in self.members
+            or other in self.paused
+            or not self.reachable(one, other)
+            or self.rng.random() < self.loss
+        ):
+            self.members[one].note_unanswered(other, self.now)
             return
         self.deliver(one, other)
         self.deliver(other, one)
@@ -63,7 +73,7 @@
     def run(self, seconds):
         until = self.now + seconds
         while self.now < until:
-            self.now += _membership.TICK_S
+            self.now += _gossip_pace.MIN_ROUND_S
             for name in sorted(self.members):
                 if name in self.paused:
                     continue
@@ -123,7 +133,10 @@
     net = Net(1)
     net.run(5)
     del net.members['a2']
-    net.run(_membership.SUSPECT_S + _membership.CENTRE_SUSPECT_S)
+    net.run(
+        _observations.LIFE_S
+        * (_observations.SUSPECT_SHARE + _observations.FAR_SUSPECT_SHARE)
+    )
     for name in net.members:
         assert 'a2' not in net.live(name)
 
@@ -134,7 +147,7 @@
     net.run(5)
     net.members['a1'].note_unreachable('b1', net.now)
     assert 'b1' not in net.live('a1')
-    net.run(_membership.FAILED_HOST_S + 2)
+    net.run(_observations.FAILED_HOST_S + 2)
     assert 'b1' in net.live('a1')
 
 
@@ -211,26 +224,34 @@
     assert 'a2' not in net.live('a1')
 
 
-def test_no_host_of_a_large_data_centre_is_suspected_at_a_slow_pace():
+def test_no_host_of_a_large_data_centre_is_suspected_at_the_slowest_pace():
     """A hundred hosts without faults, slowed down by the byte budget."""
     names = tuple(f'h{n}' for n in range(100))
     members = {}
     for name in names:
-        found = process.Membership(name, 'c', 1, random.Random(name))
+        found = process.Membership(
+            name, 'c', 1, random.Random(name), LARGE_LIFE_S
+        )
         found.configure({'c': names})
-        found.slowness = 4.0
         members[name] = found
+
+    def deliver(sender, receiver, answered=None):
+        sent = members[sender].message(
+            'c', 1, None, now, partner=receiver, answered=answered
+        )
+        members[receiver].receive(sent, now)
+        return sent
+
     now = 0.0
     while now < 240:
-        now += _membership.TICK_S * 4
+        now += _gossip_pace.MAX_ROUND_S
         for name in names:
-            for peer in members[name].tick(now):
-                sent = members[name].message('c', 1, None, now)
-                members[peer].receive(sent, now)
-                sent = members[peer].message('c', 1, None, now)
-                members[name].receive(sent, now)
-    for name in names:
-        assert len(members[name].view(now).alive['c']) == 100
+            for peer in members[name].tick(now, strained=True):
+                deliver(peer, name, answered=deliver(name, peer))
+        if now < SETTLED_S:
+            continue
+        for name in names[:: 1 if now == 240 else 25]:
+            assert len(members[name].view(now).alive['c']) == 100
 
 
 @given(
--- a/ebonypick/process/tests/test_roster.py
+++ b/ebonypick/process/tests/test_roster.py
@@ -50,7 +50,9 @@
         for name in names
     }
     node = types.SimpleNamespace(
-        settings=types.SimpleNamespace(data_centres=regions),
+        settings=types.SimpleNamespace(
+            data_centres=regions, terms=types.SimpleNamespace(contact='3s')
+        ),
         board=types.SimpleNamespace(view=view),
         connections=types.SimpleNamespace(rows=rows, centres=lambda: hosts),
     )
