--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -47,7 +47,7 @@
 
 
 def _make_membership(hosts, centres):
-    """Return the membership of a host that has records of all others."""
+    """Return the memberships of two hosts that have records of all others."""
     names = {
         f'c{c}': tuple(f'c{c}h{h}' for h in range(hosts))
         for c in range(centres)
@@ -66,7 +66,13 @@
     )
     message = process.Message('c0h1', 'c0', 1, None, siblings, far)
     member.receive(message, 0.0)
-    return member, message
+    other = process.Membership('c0h1', 'c0', 1, random.Random(SEED.value))
+    other.configure(names)
+    other.receive(message, 0.0)
+    # From now on both know that the other one reads packed signs.
+    member.receive(other.message('c0', 1, None, 0.0), 0.0)
+    other.receive(member.message('c0', 1, None, 0.0), 0.0)
+    return member, other
 
 
 def measure_messages():
@@ -75,19 +81,16 @@
     The time covers building, encoding, decoding and receiving the message.
     """
     for hosts, centres in zip(HOSTS, CENTRES):
-        member, _ = _make_membership(hosts, centres)
-        message = member.message('c0', 1, None, 0.0)
-        data = msgspec.json.encode(message)
-        spent_s = _timed(
-            lambda: member.receive(
-                msgspec.json.decode(
-                    msgspec.json.encode(member.message('c0', 1, None, 0.0)),
-                    type=process.Message,
-                ),
-                0.0,
-            ),
-            200,
-        )
+        member, other = _make_membership(hosts, centres)
+
+        def deliver():
+            sent = member.message('c0', 1, None, 0.0, partner=other.host)
+            data = msgspec.json.encode(sent)
+            other.receive(msgspec.json.decode(data, type=process.Message), 0.0)
+            return data
+
+        data = deliver()
+        spent_s = _timed(deliver, 200)
         view_s = _timed(lambda: member.view(0.0), 200)
         _print_figures(
             'message inside a data centre',
--- a/bin/prove_needed.py
+++ b/bin/prove_needed.py
@@ -127,8 +127,8 @@
         'membership keeps its budget of bytes',
         'records of servers get what signs of life leave',
         'ebonypick/process/_gossip.py',
-        'limits, crashes = self._pace.records(now, spare)',
-        'pass',
+        'limits, crashes, loads = self._pace.records(now, spare)',
+        'limits, crashes, loads = _gossip_pace.MAX_RECORDS',
         (LOST_HOSTS, '-k', 'budget'),
     ),
     Cut(
--- a/ebonypick/process/_gossip.py
+++ b/ebonypick/process/_gossip.py
@@ -88,16 +88,19 @@
         record_bytes = (
             len(message.limits) * _gossip_pace.LIMIT_BYTES
             + len(message.crashes) * _gossip_pace.CRASH_BYTES
+            + sum(bool(r.loads) for r in (*message.hosts, *message.centres))
+            * _gossip_pace.LOAD_BYTES
         )
         self._pace.count(size, record_bytes, time.monotonic())
         self._node.metrics.gossip_bytes.inc(size)
 
     def _encode(self, partner, to_centre, answered=None, urgent=False):
         now = time.monotonic()
-        limits, crashes = _gossip_pace.MAX_LIMITS, _gossip_pace.MAX_CRASHES
-        if not urgent:
+        if urgent:
+            limits, crashes, loads = _gossip_pace.MAX_RECORDS
+        else:
             spare = not self._membership.is_burdened(partner, now)
-            limits, crashes = self._pace.records(now, spare)
+            limits, crashes, loads = self._pace.records(now, spare)
         message = self._membership.message(
             to_centre,
             self._node.board.number,
@@ -108,6 +111,7 @@
             self._node.crashes.to_send(crashes),
             partner,
             answered,
+            loads,
         )
         data = msgspec.json.encode(message)
         self._count(data, message)
--- a/ebonypick/process/_gossip_pace.py
+++ b/ebonypick/process/_gossip_pace.py
@@ -7,9 +7,9 @@
 """
 
 # Budget for bytes sent and received, including HTTP headers.
-BYTES_PER_S = 4_500
+BYTES_PER_S = 4_400
 # Part of the budget that signs of life may take before rounds slow down.
-SIGNS_SHARE = 0.8
+SIGNS_SHARE = 0.75
 MIN_ROUND_S = 0.5
 # Signs of life reach all hosts of a data centre, or all data centres, within
 # five rounds.
@@ -18,11 +18,16 @@
 BURST_S = 1.0
 # A host that has just started hears of all others at the fastest pace.
 START_S = 3.0
-# Records of limits and of crashes in one message at most, and their sizes.
+# Records in one message at most, and their sizes: of limits, of crashes, and
+# of the loads of hosts and of data centres.
 MAX_LIMITS = 12
 MAX_CRASHES = 8
+MAX_LOADS = 12
 LIMIT_BYTES = 45
 CRASH_BYTES = 100
+LOAD_BYTES = 110
+MAX_RECORDS = (MAX_LIMITS, MAX_CRASHES, MAX_LOADS)
+RECORD_BYTES = (LIMIT_BYTES, CRASH_BYTES, LOAD_BYTES)
 # Where no bytes are left, one message in so many has a record of each kind, so
 # that they still spread.
 FULL_MESSAGES = 8
@@ -36,12 +41,12 @@
     >>> pace = Pace(now=0.0)
     >>> pace.count(2_000, 0, now=START_S)
     >>> round(pace.next_pause_s(), 3)
-    0.556
+    0.606
     >>> pace.records(now=3.1), pace.records(now=6.0)
-    ((12, 8), (12, 8))
+    ((12, 8, 12), (12, 8, 12))
     >>> pace.count(9_000, 0, now=6.0)
-    >>> [pace.records(now=6.0) for _ in range(FULL_MESSAGES)]
-    [(0, 0), (0, 0), (0, 0), (0, 0), (0, 0), (0, 0), (0, 0), (1, 1)]
+    >>> [pace.records(now=6.0) for _ in range(FULL_MESSAGES)][-2:]
+    [(0, 0, 0), (1, 1, 1)]
 
     Parameters
     ==========
@@ -100,14 +105,19 @@
 
         Returns
         =======
-        limits, crashes : int
-            The numbers of records of limits and of crashes.
+        limits, crashes, loads : int
+            The numbers of records of limits and of crashes, and of loads of
+            hosts and of data centres each.
         """
         self._refill(now)
         left = int(self._level) if spare else 0
-        if left > CRASH_BYTES + LIMIT_BYTES:
-            crashes = min(MAX_CRASHES, left // CRASH_BYTES)
-            return min(MAX_LIMITS, left // LIMIT_BYTES), crashes
+        found = []
+        for limit, size in zip(MAX_RECORDS, RECORD_BYTES):
+            count = max(0, min(limit, left // size))
+            found.append(count)
+            left -= count * size
+        if any(found):
+            return tuple(found)
         self._full_messages += 1
-        found = int(self._full_messages % FULL_MESSAGES == 0)
-        return found, found
+        count = int(self._full_messages % FULL_MESSAGES == 0)
+        return (count,) * len(MAX_RECORDS)
--- a/ebonypick/process/_membership.py
+++ b/ebonypick/process/_membership.py
@@ -225,6 +225,7 @@
         crashes=(),
         partner=None,
         answered=None,
+        loads=MAX_RECORDS,
     ):
         """Return the message to a host of a data centre.
 
@@ -234,6 +235,8 @@
             The host, if it may read packed signs.
         answered : Message, optional
             The message to which this one is the reply.
+        loads : int
+            Records with loads of each kind at most, beside packed signs.
         """
         self._known.notice_pause(now)
         # A new beat, so that the receiver sees that this host lives now.
@@ -272,13 +275,15 @@
             centres = _record_choice.with_loads(
                 centres, self._known.centre_loads, now
             )
+        else:
+            loads = MAX_RECORDS
         return _gossip_messages.Message(
             self.host,
             self.data_centre,
             version,
             platform_s,
-            _record_choice.sample(hosts, MAX_RECORDS, self._rng),
-            _record_choice.sample(centres, MAX_RECORDS, self._rng),
+            _record_choice.sample(hosts, loads, self._rng),
+            _record_choice.sample(centres, loads, self._rng),
             revisions or {},
             limits,
             crashes,
@@ -346,11 +351,13 @@
             alive[centre] = self._known.far_alive(centre, digest, now)
             leaving.update(digest.record.leaving)
             cut_off.update(digest.record.cut_off)
-        return View(
-            {
-                centre: tuple(sorted(n for n in names if n not in leaving))
+        if leaving:
+            alive = {
+                centre: [n for n in names if n not in leaving]
                 for centre, names in alive.items()
-            },
+            }
+        return View(
+            {centre: tuple(names) for centre, names in alive.items()},
             frozenset(leaving),
             frozenset(cut_off),
         )
--- a/ebonypick/process/_observations.py
+++ b/ebonypick/process/_observations.py
@@ -64,7 +64,9 @@
 
     def configure(self, centres):
         """Set the entry hosts of each data centre."""
-        self.centres = dict(centres)
+        self.centres = {
+            centre: tuple(sorted(names)) for centre, names in centres.items()
+        }
         self.index = _packed_signs.make_index(centres)
         listed = self.index.centre
         speakers = {(centre, name) for name, centre in listed.items()}
@@ -194,22 +196,39 @@
 
     def far_alive(self, centre, digest, now):
         """Return the live hosts of another data centre, by its digest."""
+        names = self.centres[centre]
         record = digest.record
         late = dict(record.late)
-        return [
+        oldest_s = record.oldest_ds / 10
+        # Without trouble all hosts live, in a region of hundreds of them.
+        odd = {*record.absent, *late, *self._doubted(now)}
+        if now - digest.at + oldest_s <= self._life_s and odd.isdisjoint(
+            names
+        ):
+            return names
+        return tuple(
             name
-            for name in self.centres[centre]
+            for name in names
             if self._is_alive(
                 name,
                 self._far_sign_at(
                     name,
                     digest,
-                    late[name] / 10 if name in late else record.oldest_ds / 10,
+                    late[name] / 10 if name in late else oldest_s,
                 ),
                 FAR_SUSPECT_SHARE * self._life_s,
                 now,
             )
-        ]
+        )
+
+    def _doubted(self, now):
+        """Return the hosts that lately did not answer this one."""
+        for name, until in self._failed.items():
+            if now < until:
+                yield name
+        for name, (before, _) in self._unanswered.items():
+            if now - before <= self._life_s:
+                yield name
 
     def _far_sign_at(self, name, digest, age_s):
         """Return when a host of another data centre gave its last sign.
--- a/ebonypick/process/_record_choice.py
+++ b/ebonypick/process/_record_choice.py
@@ -119,6 +119,8 @@
 
     If the newest were always preferred, the others would never be sent.
     """
+    if not limit:
+        return ()
     if len(records) > limit:
         records = [records[0], *rng.sample(records[1:], limit - 1)]
     return tuple(records)
