--- a/ebonypick/process/_packed_signs.py
+++ b/ebonypick/process/_packed_signs.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from ebonypick import json_text
 from ebonypick.process import _gossip_messages
 
 LEAVING = 1
@@ -143,7 +144,7 @@
     Raises
     ======
     msgspec.ValidationError
-        If a place is beyond the list of hosts, or an incarnation negative.
+        If a place is beyond the list of hosts, or an incarnation out of range.
     """
     try:
         hosts = [
@@ -166,8 +167,9 @@
 
 def _incarnation(signs, offset):
     found = signs.incarnation + offset
-    if found < 0:
-        raise msgspec.ValidationError('An incarnation is negative.')
+    if not 0 <= found <= json_text.MAX_WHOLE:
+        # It could not be sent on.
+        raise msgspec.ValidationError('An incarnation is out of range.')
     return found
 
 
