Send records in full from a host that the configuration no longer lists

Such a host has no place in the list of hosts, so packing its own record ended each of its messages with a KeyError, for as long as it runs on. Found by reading; the test fails with that error without the change.

--- a/bin/prove_needed.py
+++ b/bin/prove_needed.py
@@ -135,7 +135,7 @@
         'membership keeps its budget of bytes',
         'signs of life are packed',
         'ebonypick/process/_membership.py',
-        'packs = self._checksums.get(partner) == self._known.index.checksum',
+        'packs = self._reads_packed(partner)',
         'packs = False',
         (LOST_HOSTS, '-k', 'budget or calm'),
     ),
--- a/ebonypick/process/_membership.py
+++ b/ebonypick/process/_membership.py
@@ -203,6 +203,13 @@
 
     # Messages.
 
+    def _reads_packed(self, partner):
+        """Return whether a host reads packed signs of this one."""
+        index = self._known.index
+        # A host that the configuration no longer lists has no place.
+        listed = self.host in index.place
+        return listed and self._checksums.get(partner) == index.checksum
+
     def _own_record(self):
         return _gossip_messages.HostRecord(
             self.host,
@@ -242,7 +249,7 @@
         # A new beat, so that the receiver sees that this host lives now.
         self._beat += 1
         near = to_centre == self.data_centre
-        packs = self._checksums.get(partner) == self._known.index.checksum
+        packs = self._reads_packed(partner)
         max_age_s = self._life_s if packs else RELAYED_AGE_S
         own = self._own_record()
         hosts = []
--- a/ebonypick/process/tests/test_packed_signs.py
+++ b/ebonypick/process/tests/test_packed_signs.py
@@ -122,6 +122,18 @@
     assert sent.signs.hosts == ()
 
 
+def test_a_host_that_is_no_longer_listed_sends_records_in_full():
+    a1, a2 = _make('a1'), _make('a2')
+    left = {'c1': ('a2', 'a3'), 'c2': CENTRES['c2']}
+    for member in (a1, a2):
+        member.configure(left)
+    a1.receive(a2.message('c1', 1, None, 0.0), 0.0)
+    sent = a1.message('c1', 1, None, 0.0, partner='a2')
+    assert [record.host for record in sent.hosts] == ['a1', 'a2']
+    a2.receive(sent, 0.0)
+    a2.message('c1', 1, None, 0.0, partner='a1', answered=sent)
+
+
 @pytest.mark.parametrize('asked_at', (None, 4.5))
 def test_an_answer_of_an_earlier_release_is_new_with_a_known_beat(asked_at):
     a1, a2 = _make('a1'), _make('a2')
