--- a/review/rig/world.py
+++ b/review/rig/world.py
@@ -1,6 +1,7 @@
 """A small deployment on loopback addresses, with entry hosts as processes."""
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -13,6 +14,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 from rig import http
 from rig import store
@@ -143,8 +145,7 @@
     def add_host(self, name, zone):
         """Choose the endpoints of an entry host and write its settings."""
         address = self.new_address()
-        front, ready, look, metrics = (free_port(address) for _ in range(4))
-        peers = free_pair(address)
+        front, ready, look, metrics, peers = free_ports(address)
         settings = {
             'host': name,
             'data_centre': zone,
@@ -228,22 +229,22 @@
         return address, int(port)
 
 
-def free_port(address):
-    with socket.socket() as sock:
-        sock.bind((address, 0))
-        return sock.getsockname()[1]
+def free_ports(address):
+    """Return five different free ports; the one after the last is free, too."""
+    with contextlib.ExitStack() as held:
 
+        def hold(port):
+            sock = held.enter_context(socket.socket())
+            sock.bind((address, port))
+            return sock.getsockname()[1]
 
-def free_pair(address):
-    """Return the first of two free ports that follow each other."""
-    for _ in range(100):
-        port = free_port(address)
-        try:
-            with socket.socket() as sock:
-                sock.bind((address, port + 1))
-                return port
-        except OSError:
-            continue
+        # All stay bound until the last is chosen, so that no two are equal.
+        found = [hold(0) for _ in range(4)]
+        for _ in range(100):
+            port = hold(0)
+            with contextlib.suppress(OSError, OverflowError):
+                hold(port + 1)
+                return [*found, port]
     raise CannotRun('no two free ports')
 
 
@@ -288,8 +289,8 @@
             async with World(folder) as world:
                 try:
                     found = await play(world)
-                except CannotRun as exc:
-                    world.record(f'the case could not run: {exc}')
+                except BaseException:
+                    world.record(f'could not run: {traceback.format_exc()}')
                     raise
                 for text in found:
                     world.record(f'BROKEN: {text}')
@@ -298,8 +299,9 @@
 
     try:
         found = asyncio.run(run())
-    except (CannotRun, TimeoutError, OSError) as exc:
-        print(f'could not run: {exc!r}', file=sys.stderr)
+    except Exception:
+        # Exit status 1 is for a broken rule alone.
+        traceback.print_exc()
         return 2
     for text in found:
         print(text)
