--- a/ebonypick/errors.py
+++ b/ebonypick/errors.py
@@ -279,6 +279,16 @@
     remedy = 'Read the state from the service before a new request.'
 
 
+class IncompleteBodyError(UnknownOutcomeError):
+    """A part of the body is not in memory any more."""
+
+    code = 'EP2204'
+    message = (
+        'The body cannot be sent again: {found} of {size} bytes are in memory.'
+    )
+    remedy = 'Read the state from the service before a new request.'
+
+
 class ConfigError(EbonypickError):
     """A settings file or configuration file is not valid."""
 
--- a/ebonypick/process/_body.py
+++ b/ebonypick/process/_body.py
@@ -1,11 +1,25 @@
 """Reads request bodies: buffers small ones and streams large ones once."""
 
+import enum
+
 from ebonypick import errors
 
 BUFFER_BYTES = 65_536
 SLOW_SENDER_S = 5.0
 
 
+class _State(enum.Enum):
+    """How much of a body has been read, and which part is in memory."""
+
+    UNREAD = 'unread'
+    # All of the body is in memory.
+    BUFFERED = 'buffered'
+    # The start is in memory; the caller still sends the rest.
+    STARTED = 'started'
+    # The rest was read for an attempt and is not in memory any more.
+    SPENT = 'spent'
+
+
 class RequestBody:
     """The body of a request that is forwarded.
 
@@ -33,8 +47,7 @@
         self._service = service
         self._buffer_bytes = buffer_bytes
         self._start = b''
-        self._ended = False
-        self._streamed = False
+        self._state = _State.UNREAD
         self._size = 0
 
     async def read_start(self):
@@ -48,16 +61,20 @@
             If the body exceeds the limit.
         """
         parts = []
-        while self._size < self._buffer_bytes and not self._ended:
+        state = _State.STARTED
+        while self._size < self._buffer_bytes:
             part = await self._read()
-            if part is not None:
-                parts.append(part)
+            if part is None:
+                state = _State.BUFFERED
+                break
+            parts.append(part)
         self._start = b''.join(parts)
+        self._state = state
 
     async def _read(self):
+        """Return the next part of the body, or None at its end."""
         part = await self._req.read(SLOW_SENDER_S)
         if part is None:
-            self._ended = True
             self._check_length()
             return None
         self._size += len(part)
@@ -79,13 +96,13 @@
 
     @property
     def repeatable(self):
-        """Whether the body can be sent from its beginning, also repeatedly."""
-        return self._ended or not self._streamed
+        """Whether the next attempt can send the body from its beginning."""
+        return self._state is not _State.SPENT
 
     @property
     def whole(self):
         """Whether the whole body is in memory."""
-        return self._ended and not self._streamed
+        return self._state is _State.BUFFERED
 
     def data(self, pace):
         """Return the body for one attempt: bytes, a generator or None.
@@ -94,20 +111,32 @@
         ==========
         pace : coroutine function
             Awaited with the size of each part before the part is sent.
+
+        Raises
+        ======
+        errors.IncompleteBodyError
+            If an attempt has read a large body. A generator raises it too if
+            another one has been started before.
         """
-        if self._ended:
+        if self._state is _State.BUFFERED:
             return self._start or None
+        self._check_not_spent()
         return self._stream(pace)
 
+    def _check_not_spent(self):
+        if self._state is _State.SPENT:
+            raise errors.IncompleteBodyError(
+                found=len(self._start), size=self._size
+            )
+
     async def _stream(self, pace):
-        self._streamed = True
+        self._check_not_spent()
+        self._state = _State.SPENT
         await pace(len(self._start))
         yield self._start
-        while not self._ended:
-            part = await self._read()
-            if part is not None:
-                await pace(len(part))
-                yield part
+        while (part := await self._read()) is not None:
+            await pace(len(part))
+            yield part
 
 
 async def read_message(req, limit, timeout_s):
--- a/ebonypick/process/_relay.py
+++ b/ebonypick/process/_relay.py
@@ -173,10 +173,8 @@
 
     def _may_hedge(self):
         service = self._checked.info.service
-        return (
-            self._body.repeatable
-            and self._node.layouts.budgets[service].take()
-        )
+        # Two attempts at a time cannot share a body that is streamed.
+        return self._body.whole and self._node.layouts.budgets[service].take()
 
     async def _run_attempts(self, hedge):
         """Make attempts one after the other until one has an answer."""
--- a/ebonypick/process/_transfer.py
+++ b/ebonypick/process/_transfer.py
@@ -1,6 +1,7 @@
 """Sends a request over a connection and streams its answer to the caller."""
 
 from ebonypick import connection
+from ebonypick import errors
 from ebonypick import events
 from ebonypick import platform
 from ebonypick.process import _job
@@ -20,6 +21,12 @@
         The request.
     rows : list of (str, str)
         The header fields to send.
+
+    Raises
+    ======
+    errors.IncompleteBodyError
+        If less than the body that the caller announced can be sent. Nothing
+        has been sent then.
     """
 
     def matches(status, by_name):
@@ -35,6 +42,10 @@
     whole = data is None or isinstance(data, bytes)
     if whole:
         length = len(data or b'')
+        if req.content_length not in (None, length):
+            raise errors.IncompleteBodyError(
+                found=length, size=req.content_length
+            )
         if method in BODYLESS_METHODS and not length:
             length = None
     else:
--- a/standins/server_records.py
+++ b/standins/server_records.py
@@ -92,6 +92,10 @@
     unframed: int = 0
     early: int = 0
     shed: int = 0
+    # Rejections after the head of the request, and after its whole body with
+    # status 421.
+    shed_early: int = 0
+    misdirect: int = 0
     hang: int = 0
     garbage: int = 0
     fail: int = 0
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -219,6 +219,10 @@
             self._answer(writer, headers, 200, b'early')
             await self._read_body(reader, headers)
             return True
+        if self._consume_fault('shed_early'):
+            self._answer(writer, headers, 503, b'', sealed=False)
+            await self._read_body(reader, headers)
+            return True
         body = await self._read_body(reader, headers)
         return await self._run(reader, writer, method, target, headers, body)
 
@@ -240,7 +244,9 @@
 
     async def _run(self, reader, writer, method, target, headers, body):
         expected = headers.get('expect-instance')
-        misdirected = expected is not None and expected != self.instance
+        misdirected = self._consume_fault('misdirect') or (
+            expected is not None and expected != self.instance
+        )
         arrival = server_records.Arrival(
             headers.get('attempt-id', ''),
             self.instance,
--- a/tests/steering_world.py
+++ b/tests/steering_world.py
@@ -26,6 +26,7 @@
 TIMEOUT_S = 2.0
 CALLERS_PORT = 8461
 PEER_PORT = 8470
+PART_BYTES = 65_536
 _networks = itertools.count(1)
 
 
@@ -281,10 +282,20 @@
 
     # Callers.
 
-    async def call(self, session, name, kind, size=0, key=None, target=None):
+    async def call(
+        self,
+        session,
+        name,
+        kind,
+        size=0,
+        key=None,
+        target=None,
+        chunked=False,
+    ):
         """Send one request and record its result.
 
-        Its target is drawn by default, as is its object.
+        Its target is drawn by default, as is its object. With ``chunked``,
+        its body is sent without an announced length.
         """
         req, key, drawn = self._draw(kind, key)
         target = target or drawn
@@ -296,7 +307,7 @@
         lifetime = self.lifetimes[name]
         sent_at = time.monotonic()
         status, answer, headers = await self._exchange(
-            session, name, kind, target, body, req, key
+            session, name, kind, target, body, req, key, chunked
         )
         call = steering_calls.Call(
             req,
@@ -370,7 +381,9 @@
         """Return the host and port that the callers of a host connect to."""
         return self.address(name), self.callers_port
 
-    async def _exchange(self, session, name, kind, target, body, req, key):
+    async def _exchange(
+        self, session, name, kind, target, body, req, key, chunked
+    ):
         headers = {
             'Host': steering_calls.HOST,
             'Attempt-Id': req,
@@ -384,7 +397,7 @@
                 method,
                 yarl.URL(url, encoded=True),
                 headers=headers,
-                data=body or None,
+                data=_in_parts(body) if chunked else body or None,
                 timeout=aiohttp.ClientTimeout(
                     total=steering_calls.DEADLINE_S + 2
                 ),
@@ -416,6 +429,12 @@
             await asyncio.gather(*tasks)
 
 
+async def _in_parts(body):
+    """Yield the parts of a body that is sent in chunks."""
+    for start in range(0, len(body), PART_BYTES):
+        yield body[start : start + PART_BYTES]
+
+
 def run_scene(folder, seed, play, **more):
     """Run a coroutine function in a deployment and return its result.
 
--- a/tests/test_cut_off_hosts.py
+++ b/tests/test_cut_off_hosts.py
@@ -133,6 +133,30 @@
     return _play(tmp_path, play)
 
 
+@pytest.mark.parametrize('chunked', (False, True))
+def test_no_server_runs_a_part_of_a_relayed_upload(tmp_path, chunked):
+    """Guards against relayed uploads that are repeated without their end."""
+
+    async def ask(world, session, names):
+        for server in world.of('evidence'):
+            server.faults.shed = 1
+        return [
+            await world.call(
+                session,
+                name,
+                'upload',
+                size=LONG_BODY_BYTES,
+                chunked=chunked,
+            )
+            for name in names
+            for _ in range(4)
+        ]
+
+    world, calls = _play_calls(tmp_path, ask)
+    assert {call.status for call in calls} <= {200, 503}
+    assert steering_calls.violations(world) == []
+
+
 def test_long_bodies_are_passed_on_whole(tmp_path):
     async def ask(world, session, names):
         return [
