--- a/bin/prove_needed.py
+++ b/bin/prove_needed.py
@@ -246,11 +246,22 @@
     Cut(
         'planned stops',
         'what would outlast a planned stop is refused unsent',
-        'ebonypick/process/_steering_host.py',
-        'return left_s > STOP_TIME_RATIO * self.fleet.work_s(service)',
+        'ebonypick/request/_planned_stop.py',
+        'return self.end_at - now > TIME_RATIO * work_s',
         'return True',
         ('tests/test_late_in_a_stop.py',),
     ),
+    Cut(
+        'planned stops',
+        'late requests are passed on only if they surely end',
+        'ebonypick/request/_planned_stop.py',
+        'if received_at > self.started_at + LATE_S:',
+        'if False:',
+        (
+            'ebonypick/request/tests/test_planned_stop.py',
+            'tests/test_late_in_a_stop.py',
+        ),
+    ),
     Cut(
         'a store that comes back older',
         'rows of before are kept',
--- a/ebonypick/process/_attempt_series.py
+++ b/ebonypick/process/_attempt_series.py
@@ -39,6 +39,8 @@
         self._attempts = []
         # Whether a backend server may have run the request.
         self._may_have_run = False
+        # Monotonic time at which the request could first be passed on.
+        self._started_at = 0.0
         # The last complete server error; it is the answer if no attempt
         # succeeds.
         self.failure = None
@@ -64,6 +66,7 @@
         errors.EbonypickError
             If there is no answer; the error carries the known outcome.
         """
+        self._started_at = time.monotonic()
         try:
             return await self._run_attempts()
         except (errors.UnknownOutcomeError, errors.ServingError):
@@ -184,11 +187,11 @@
         errors.NotReadyError, errors.UnknownOutcomeError
             The second one if a server may have run the request.
         """
-        if self._node.has_time_for(self._job.service):
+        if self._node.has_time_for(self._job, self._started_at):
             return
         raise self._refusal(
             errors.NotReadyError(
-                reason='it stops before the request could end',
+                reason='it may stop before the request ends',
                 retry_after_s=OTHER_HOST_RETRY_S,
             )
         )
--- a/ebonypick/process/_entry_host.py
+++ b/ebonypick/process/_entry_host.py
@@ -85,6 +85,8 @@
         self.links = _links.Links(settings.region, self.metrics)
         self.layouts = _layouts.Layouts(self)
         self.in_flight = 0
+        # Monotonic time at which a planned stop cuts off what still runs.
+        self._stop_at = float('inf')
         self._networks = [
             ipaddress.ip_network(text) for text in settings.control_networks
         ]
@@ -190,6 +192,16 @@
         found = self.board.blocks.find_int(int(ip), ip.version)
         return found or self.settings.region
 
+    def has_time_for(self, deadline):
+        """Return whether a request surely ends before a planned stop does.
+
+        Parameters
+        ==========
+        deadline : float
+            The deadline of the request, in seconds of the monotonic clock.
+        """
+        return deadline <= self._stop_at
+
     def note_failed_peer(self, host):
         """Report to the membership that an entry host is unreachable."""
         self.gossip.note_unreachable(host)
@@ -323,6 +335,7 @@
             await asyncio.sleep(ttl_ms / 1000 + _gossip_pace.MIN_ROUND_S)
         await self._server.stop_listening(keep_new=True)
         stopped_at = time.monotonic()
+        self._stop_at = stopped_at + MAX_STOP_S
         while self._has_callers(time.monotonic() - stopped_at):
             await asyncio.sleep(STOP_POLL_S)
         await self._server.stop_listening()
--- a/ebonypick/process/_relay.py
+++ b/ebonypick/process/_relay.py
@@ -72,6 +72,10 @@
         )
         name = self._checked.info.service
         self._service = cfg.base.services[name]
+        if not self._node.has_time_for(self._checked.info.deadline):
+            raise errors.NotReadyError(
+                reason='it may stop before the request ends'
+            )
         self._body = _body.RequestBody(
             self._req, self._service.body_limit_bytes, name
         )
--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -39,9 +39,6 @@
 # cut off.
 GRACE_MARGIN_S = 0.4
 STOP_POLL_S = 0.02
-# In a planned stop, a request is sent to a server only if this multiple of
-# its usual time is left, since it may have to wait as long as it runs.
-STOP_TIME_RATIO = 2.0
 # What a host adds to the head of a request that it passes on.
 RELAY_HEADER_BYTES = 256
 # Longer than hosts keep idle connections to each other, so that no request is
@@ -72,8 +69,7 @@
         )
         self.leaving = False
         self.in_flight = 0
-        # Monotonic time at which a planned stop cuts off what still runs.
-        self._stop_at = float('inf')
+        self._stop = None
         self._rng = random.Random(uuid.uuid4().int)
         self.fleet = request.Fleet(
             settings.host,
@@ -325,10 +321,24 @@
 
     # Planned stop and reload of the settings.
 
-    def has_time_for(self, service):
-        """Return whether a request of a service may end before a stop does."""
-        left_s = self._stop_at - time.monotonic()
-        return left_s > STOP_TIME_RATIO * self.fleet.work_s(service)
+    def has_time_for(self, job, received_at):
+        """Return whether a request may be passed on in spite of a stop.
+
+        Parameters
+        ==========
+        job : Job
+            The request.
+        received_at : float
+            Monotonic time at which it could first be passed on.
+        """
+        if self._stop is None:
+            return True
+        return self._stop.admits(
+            received_at,
+            job.end_at,
+            self.fleet.work_s(job.service),
+            time.monotonic(),
+        )
 
     async def stop(self):
         """Finish the requests in flight within the grace period."""
@@ -336,7 +346,9 @@
             host=self.settings.host, in_flight=self.in_flight
         )
         grace_s = spans.parse_span_s(self.settings.terms.grace)
-        end = self._stop_at = time.monotonic() + grace_s - GRACE_MARGIN_S
+        now = time.monotonic()
+        end = now + grace_s - GRACE_MARGIN_S
+        self._stop = request.PlannedStop(now, end)
         self.leaving = True
         self.gossip.leave()
         self.tasks.start(self.gossip.announce())
--- a/ebonypick/process/tests/test_attempt_series.py
+++ b/ebonypick/process/tests/test_attempt_series.py
@@ -40,7 +40,7 @@
     """Run a read whose first attempt is at a server, others at a host."""
     node = types.SimpleNamespace(
         reach=types.SimpleNamespace(cut_off=False),
-        has_time_for=lambda service: True,
+        has_time_for=lambda job, received_at: True,
         crashes=types.SimpleNamespace(check=lambda job: None),
         fleet=types.SimpleNamespace(
             choose=lambda ask, now: request.Chosen(None, 'home', 0.0, None),
--- a/ebonypick/request/__init__.py
+++ b/ebonypick/request/__init__.py
@@ -36,6 +36,7 @@
 from ebonypick.request._placement import Placed
 from ebonypick.request._placement import Queued
 from ebonypick.request._placement import Report
+from ebonypick.request._planned_stop import PlannedStop
 from ebonypick.request._policy import expected_s
 from ebonypick.request._policy import make_policy
 from ebonypick.request._policy import policies
@@ -91,6 +92,7 @@
     'OwnerPlace',
     'OwnerSettings',
     'Placed',
+    'PlannedStop',
     'Quarantine',
     'Queued',
     'Reach',
--- a/tests/features/stops.feature
+++ b/tests/features/stops.feature
@@ -20,6 +20,12 @@
     Then the action is done
     And the entry hosts have ended by themselves
 
+  Scenario: An action whose deadline passes after the end of a stop
+    Given a deployment in good health
+    When an action comes late that may outlast the stop
+    Then the action is refused
+    And the entry hosts have ended by themselves
+
   Scenario Outline: A backend server leaves
     Given a deployment in good health
     When callers send while <source> says that a backend server leaves
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -19,6 +19,8 @@
     b'POST /actions/late HTTP/1.1\r\nHost: any\r\n'
     b'Ebonypick-Service: registry\r\nContent-Length: 4\r\n\r\nlate'
 )
+# Twice the time that a planned stop takes at most.
+LONG_DEADLINE = b'Ebonypick-Deadline-Ms: 240000\r\n'
 
 pytest_bdd.scenarios('features/stops.feature')
 sources = registry.Registry('source')
@@ -46,7 +48,7 @@
     'an action comes late on a connection that was open before a stop',
     target_fixture='result',
 )
-def send_late(deployment):
+def send_late(deployment, raw=LATE_REQUEST):
     """Connect, wait until the host stops listening, and send the request."""
     name = list(deployment.cfg.entry_hosts())[0]
     _, host = deployment.cfg.entry_hosts()[name]
@@ -57,13 +59,31 @@
             lambda: _refuses_connections(address), f'{name} to stop listening'
         )
         conn.settimeout(10)
-        conn.sendall(LATE_REQUEST)
+        conn.sendall(raw)
         answer = b''
         while part := conn.recv(65_536):
             answer += part
     return types.SimpleNamespace(stopped=[name], answer=answer)
 
 
+@pytest_bdd.when(
+    'an action comes late that may outlast the stop',
+    target_fixture='result',
+)
+def send_late_and_long(deployment):
+    """Do the same with a request whose deadline is after the stop's end."""
+    raw = LATE_REQUEST.replace(b'Content', LONG_DEADLINE + b'Content')
+    return send_late(deployment, raw)
+
+
+@pytest_bdd.then('the action is refused')
+def check_refused(result):
+    """Guards against actions that a planned stop cuts off without answer."""
+    head = result.answer.partition(b'\r\n\r\n')[0].lower()
+    assert head.startswith(b'http/1.1 503')
+    assert b'ebonypick-outcome: not-run' in head
+
+
 def _refuses_connections(address):
     try:
         socket.create_connection(address, timeout=1.0).close()
