--- a/ebonypick/connection/_caller_request.py
+++ b/ebonypick/connection/_caller_request.py
@@ -199,8 +199,11 @@
     async def write(self, data):
         """Send bytes of the answer's body."""
         if self._is_chunked:
-            data = b'%x\r\n%b\r\n' % (len(data), data)
+            # The part is not copied: it may be as long as a buffer.
+            self._stream.write(b'%x\r\n' % len(data))
         self._stream.write(data)
+        if self._is_chunked:
+            self._stream.write(b'\r\n')
         await self._stream.wait_until_writable()
 
     async def end(self):
--- a/ebonypick/connection/_exchange.py
+++ b/ebonypick/connection/_exchange.py
@@ -39,8 +39,8 @@
 TCP_USER_TIMEOUT_MS = 3_000
 # A body that is longer than this is passed on while it arrives.
 BUFFER_BYTES = 262_144
-# While a body is passed on, reading pauses when more than this many bytes
-# beyond BUFFER_BYTES have not been taken by the reader.
+# Reading pauses when more than this many bytes beyond BUFFER_BYTES have not
+# been taken by the reader.
 PAUSE_READING_BYTES = 131_072
 # Four times the default limit for the head of a caller's request.
 HEAD_LIMIT_BYTES = 65_536
@@ -92,6 +92,8 @@
         self.answer = None
         self.parts = collections.deque()
         self.size = 0
+        # Number of buffered bytes above which reading pauses.
+        self.max_size = BUFFER_BYTES + PAUSE_READING_BYTES
         self.ended = False
         self.error = None
 
@@ -260,12 +262,8 @@
         pending.parts.append(data)
         pending.size += len(data)
         pending.changed.set()
-        if (
-            pending.size > BUFFER_BYTES + PAUSE_READING_BYTES
-            and not self._paused
-        ):
-            self._paused = True
-            self._transport.pause_reading()
+        if pending.size > pending.max_size:
+            self._set_paused(True)
 
     def on_message_complete(self):
         """Complete the expected answer, or the discarded one."""
@@ -368,8 +366,10 @@
             await pending.changed.wait()
         return pending.answer
 
-    async def read_start(self):
-        """Return the start of the body and whether it is the whole body.
+    async def read_whole(self):
+        """Return the whole body, or None if it is too long to be buffered.
+
+        What was received of a long body is returned by ``read``.
 
         Raises
         ======
@@ -380,11 +380,23 @@
         while not pending.ended and pending.size <= BUFFER_BYTES:
             pending.changed.clear()
             await pending.changed.wait()
-        return self._take_body(), pending.ended
+        self._set_paused(not pending.ended)
+        self._check_answer()
+        if not pending.ended:
+            # Each call of ``read`` receives what the loop delivers at once.
+            pending.max_size = 0
+            return None
+        data = b''.join(pending.parts)
+        pending.parts.clear()
+        pending.size = 0
+        return data
 
     async def read(self):
         """Return more bytes of the body, or no bytes at its end.
 
+        Bytes are received only during a call, so that a caller that is slow
+        to read an answer leaves the rest of it with the server.
+
         Raises
         ======
         connection.LostError
@@ -392,21 +404,30 @@
         """
         pending = self._pending
         while not pending.ended and not pending.parts:
+            self._set_paused(False)
             pending.changed.clear()
             await pending.changed.wait()
-        return self._take_body()
-
-    def _take_body(self):
-        pending = self._pending
-        if pending.error is not None:
-            raise pending.error
-        data = b''.join(pending.parts)
-        pending.parts.clear()
-        pending.size = 0
-        if self._paused:
-            self._paused = False
+        self._set_paused(not pending.ended)
+        self._check_answer()
+        if not pending.parts:
+            return b''
+        part = pending.parts.popleft()
+        pending.size -= len(part)
+        return part
+
+    def _check_answer(self):
+        if self._pending.error is not None:
+            raise self._pending.error
+
+    def _set_paused(self, paused):
+        """Pause or resume the receiving of bytes."""
+        if paused == self._paused or self._transport.is_closing():
+            return
+        self._paused = paused
+        if paused:
+            self._transport.pause_reading()
+        else:
             self._transport.resume_reading()
-        return data
 
     def release(self):
         """End the request; return whether the connection can be reused.
--- a/ebonypick/connection/tests/test_endless.py
+++ b/ebonypick/connection/tests/test_endless.py
@@ -70,7 +70,7 @@
         data = connection.request_bytes('GET', '/', [('host', 'x')], None)
         conn.start(data, lambda _, names: names.get('id') == 'a', False)
         await conn.head()
-        await conn.read_start()
+        await conn.read_whole()
         while read_all and await conn.read():
             pass
 
@@ -127,19 +127,42 @@
             data = connection.request_bytes('GET', '/', [('host', 'x')], None)
             conn.start(data, lambda _, names: names.get('id') == 'a', False)
             await conn.head()
-            _, whole = await conn.read_start()
+            body = await conn.read_whole()
             await asyncio.sleep(0.3)
             held = conn.held_bytes
             before = endless.sent
             await asyncio.sleep(0.3)
-            return whole, held, endless.sent - before
+            return body, held, endless.sent - before
 
-    whole, held, more = asyncio.run(_serve(endless, scenario))
-    assert not whole
+    body, held, more = asyncio.run(_serve(endless, scenario))
+    assert body is None
     assert held <= _exchange.MAX_BUFFERED_BYTES
     assert more == 0
 
 
+def test_a_part_of_an_endless_body_is_all_that_is_held():
+    """Guards against a host that holds more of an answer than it writes."""
+    endless = _EndlessServer(OK + b'\r\n', PART)
+
+    async def scenario(pool):
+        held = []
+        async with pool.connection() as conn:
+            data = connection.request_bytes('GET', '/', [('host', 'x')], None)
+            conn.start(data, lambda _, names: names.get('id') == 'a', False)
+            await conn.head()
+            assert await conn.read_whole() is None
+            for _ in range(20):
+                part = await conn.read()
+                await asyncio.sleep(0.02)
+                held.append(conn.held_bytes + len(part))
+        return held
+
+    held = asyncio.run(_serve(endless, scenario))
+    # The first parts were received before it was known that the body is long.
+    assert max(held) <= _exchange.BUFFER_BYTES + _exchange.MAX_READ_BYTES
+    assert max(held[3:]) <= _exchange.MAX_READ_BYTES
+
+
 def test_bytes_after_a_whole_answer_end_its_connection_at_once():
     """This holds even if the answer has not been released yet."""
     whole = OK + b'content-length: 4\r\n\r\nours'
@@ -153,12 +176,12 @@
                 )
                 conn.start(data, lambda _, names: names.get('id') == 'a', 0)
                 await conn.head()
-                body, ended = await conn.read_start()
+                body = await conn.read_whole()
                 while not endless.closed:
                     await asyncio.sleep(0.01)
-                return body, ended
+                return body
 
-    assert asyncio.run(_serve(endless, scenario)) == (b'ours', True)
+    assert asyncio.run(_serve(endless, scenario)) == b'ours'
     assert endless.sent < EXCESSIVE_BYTES
 
 
--- a/ebonypick/connection/tests/test_exchange.py
+++ b/ebonypick/connection/tests/test_exchange.py
@@ -57,8 +57,8 @@
         data = connection.request_bytes('GET', '/', [('host', 'x')], None)
         conn.start(data, lambda _, names: names.get('id') == 'a', False)
         answer = await conn.head()
-        body, ended = await conn.read_start()
-        return answer.status, body, ended
+        body = await conn.read_whole()
+        return answer.status, body, body is not None
 
 
 def _send_requests(script, count=1, pause_s=0.0, req=None):
--- a/ebonypick/connection/tests/test_malformed.py
+++ b/ebonypick/connection/tests/test_malformed.py
@@ -119,7 +119,7 @@
     try:
         async with asyncio.timeout(1):
             answer = await conn.head()
-            body, _ = await conn.read_start()
+            body = await conn.read_whole()
     except _exchange._pool.LostError:
         return None
     conn.release()
--- a/ebonypick/process/_host_attempt.py
+++ b/ebonypick/process/_host_attempt.py
@@ -86,7 +86,7 @@
             self.sent = self._attempts
             await _transfer.send_request(conn, self._job, rows)
             answer = await conn.head()
-            start, whole = await conn.read_start()
+            body = await conn.read_whole()
             why = answer.by_name.get(connection.headers.UNABLE)
             if why is not None:
                 self._node.relays.note_unable(self.host)
@@ -94,16 +94,16 @@
                     request.Outcome.NOT_RUN, why, may_have_arrived=False
                 )
             outcome = self._apply_answer(answer)
-            if not whole:
-                return await self._stream(conn, answer, start)
+            if body is None:
+                return await self._stream(conn, answer)
             return _job.AttemptResult(
-                outcome, f'status {answer.status}', answer=answer, body=start
+                outcome, f'status {answer.status}', answer=answer, body=body
             )
 
-    async def _stream(self, conn, answer, start):
+    async def _stream(self, conn, answer):
         self.status = answer.status
         return await _transfer.stream_answer(
-            self._node, self._job, conn, answer, start
+            self._node, self._job, conn, answer
         )
 
     def _apply_answer(self, answer):
--- a/ebonypick/process/_server_attempt.py
+++ b/ebonypick/process/_server_attempt.py
@@ -144,19 +144,19 @@
             answer = await conn.head()
             self._answered = True
             head = platform.answer_head(answer.status, answer.by_name)
-            start, whole = await conn.read_start()
+            body = await conn.read_whole()
             failed = answer.status >= 500 and not head.not_run
             self._apply_answer(entry, head, failed)
             result = self._judge(answer, head)
             if result.answer is None:
                 return result
-            if whole:
-                return dataclasses.replace(result, body=start)
+            if body is not None:
+                return dataclasses.replace(result, body=body)
             if result.failed:
                 # The answer is too long to be buffered as the fallback if
                 # no other attempt succeeds.
                 return dataclasses.replace(result, answer=None)
-            return await self._stream(conn, answer, start)
+            return await self._stream(conn, answer)
 
     def _apply_answer(self, entry, head, failed):
         """Update the state of the server from the headers of its answer."""
@@ -215,8 +215,8 @@
             and job.remaining_s() > self._node.fleet.work_s(job.service)
         )
 
-    async def _stream(self, conn, answer, start):
+    async def _stream(self, conn, answer):
         self.status = answer.status
         return await _transfer.stream_answer(
-            self._node, self._job, conn, answer, start, self.instance
+            self._node, self._job, conn, answer, self.instance
         )
--- a/ebonypick/process/_transfer.py
+++ b/ebonypick/process/_transfer.py
@@ -76,7 +76,7 @@
         conn.write(b'0\r\n\r\n')
 
 
-async def stream_answer(node, job, conn, answer, start, backend=''):
+async def stream_answer(node, job, conn, answer, backend=''):
     """Stream a long answer to the caller as it arrives; return the result.
 
     Parameters
@@ -89,8 +89,6 @@
         The connection that the answer is read from.
     answer : connection.Answer
         The head of the answer as received.
-    start : bytes
-        The part of the body that was read.
     backend : str, optional
         The backend server that gave it.
     """
@@ -104,10 +102,8 @@
         int(length) if length is not None else None,
     )
     try:
-        part = start
-        while part:
+        while part := await conn.read():
             await req.write(part)
-            part = await conn.read()
         await req.end()
     except connection.LostError as exc:
         req.abort()
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -154,6 +154,11 @@
         """Set the run time of requests for objects that are not cached."""
         self._work_s = work_s
 
+    def set_slots(self, slots):
+        """Set the limits of running and of queued requests."""
+        self._slots = asyncio.Semaphore(slots)
+        self._slot_count = self._queue = slots
+
     def name_limit(self, per_s):
         """Name a limit of requests per second from now on; None ends it."""
         self.named_limits.append(
--- a/tests/test_steering_host.py
+++ b/tests/test_steering_host.py
@@ -420,3 +420,59 @@
     assert statuses <= expected
     assert peak_kb < MAX_MEMORY_KB
     assert max(open_counts) <= 1
+
+
+# Memory of the smallest machine that runs a host.
+MACHINE_MEMORY_KB = 300_000
+SLOW_CALLERS = 300
+ENDLESS_SLOTS = 150
+ENDLESS_PLAY_S = 4.0
+
+
+async def _ask_without_reading(world, name, number, done):
+    """Send a read and leave its answer unread until ``done`` is set."""
+    reader, writer = await asyncio.open_connection(
+        *world.callers_end(name), limit=4_096
+    )
+    req = f'unread-{number}'
+    writer.write(steering_calls.plain_get(req, number, f'/read/{req}'))
+    await done.wait()
+    writer.transport.abort()
+
+
+def test_endless_answers_that_callers_do_not_read_fit_into_memory(tmp_path):
+    """Guards against a host that runs out of memory by many such answers.
+
+    Each of them is bounded; their sum must leave the host alive, and callers
+    of sound servers must be served beside them.
+    """
+
+    async def play(world, session):
+        name = next(iter(world.processes))
+        for server in world.of('registry'):
+            server.set_slots(ENDLESS_SLOTS)
+            server.faults.endless = 'body'
+            world.register(server)
+        # The host applies the rows.
+        await asyncio.sleep(1.0)
+        done = asyncio.Event()
+        callers = [
+            asyncio.create_task(_ask_without_reading(world, name, n, done))
+            for n in range(SLOW_CALLERS)
+        ]
+        uploads = []
+        end = time.monotonic() + ENDLESS_PLAY_S
+        while time.monotonic() < end:
+            call = await world.call(session, name, 'upload')
+            uploads.append(call.status)
+            await asyncio.sleep(0.05)
+        ran = sum(len(server.runs) for server in world.of('registry'))
+        peak_kb = _peak_kb(world.processes[name])
+        done.set()
+        await asyncio.gather(*callers)
+        return uploads, ran, peak_kb
+
+    uploads, ran, peak_kb = _scene(tmp_path, play)
+    assert set(uploads) == {200}
+    assert ran == SLOW_CALLERS
+    assert peak_kb < MACHINE_MEMORY_KB
