Bound the reports that servers give of their load (own interface)

Seen in a test: 50 servers that answered the question for their load without end took 151 MB of a host at a time; it asks all of its servers at once.

Cause: these answers had the limit of messages between hosts and of the store, 8 MiB, and the parts and their sum are in memory together.

Change: an answer to a control call of a server ends at 16 KiB; a report has some 60 bytes. The limit of other messages stays, as tables need it.

Evidence: test_endless_load_reports_are_cut_off_early fails before (151 MB where 36 MB are allowed) and passes now.

--- a/ebonypick/connection/_backend_http.py
+++ b/ebonypick/connection/_backend_http.py
@@ -18,6 +18,9 @@
 STATUS = 'x-request-status'
 REPLACED_HEADERS = frozenset({REQUEST_ID, DEADLINE_MS})
 PROBE_TIMEOUT_S = 1.0
+# Maximum length of a server's answer to a control call. A host makes such
+# calls to all of its servers at a time.
+MAX_REPORT_BYTES = 16_384
 
 
 @dataclasses.dataclass(frozen=True)
@@ -120,7 +123,10 @@
         """Cancel a request; return whether it is certain not to have run."""
         try:
             status, body = await self.pool.call_json(
-                'POST', f'/_control/cancel/{req}', timeout_s=PROBE_TIMEOUT_S
+                'POST',
+                f'/_control/cancel/{req}',
+                timeout_s=PROBE_TIMEOUT_S,
+                max_bytes=MAX_REPORT_BYTES,
             )
             return status == 200 and json_text.decode(body) == {
                 'state': 'not-run'
@@ -141,7 +147,10 @@
             If the server cannot be reached.
         """
         status, body = await self.pool.call_json(
-            'GET', '/_control/load', timeout_s=PROBE_TIMEOUT_S
+            'GET',
+            '/_control/load',
+            timeout_s=PROBE_TIMEOUT_S,
+            max_bytes=MAX_REPORT_BYTES,
         )
         if status != 200:
             return None
--- a/ebonypick/connection/_pool.py
+++ b/ebonypick/connection/_pool.py
@@ -171,7 +171,13 @@
             resp.close()
 
     async def call_json(
-        self, method, path, data=None, timeout_s=1.0, transfer_s=0.0
+        self,
+        method,
+        path,
+        data=None,
+        timeout_s=1.0,
+        transfer_s=0.0,
+        max_bytes=MAX_MESSAGE_BYTES,
     ):
         """Send a request with a JSON body; return status and body.
 
@@ -191,6 +197,8 @@
         transfer_s : float
             Maximum time in seconds that the answer may take beyond that, as
             long as its bytes keep arriving.
+        max_bytes : int
+            Maximum length of the answer's body in bytes.
 
         Raises
         ======
@@ -199,15 +207,17 @@
         """
         try:
             return await self._call(
-                method, path, data, False, timeout_s / 2, transfer_s
+                method, path, data, False, timeout_s / 2, transfer_s, max_bytes
             )
         except LostError:
             self.retire()
             return await self._call(
-                method, path, data, True, timeout_s / 2, transfer_s
+                method, path, data, True, timeout_s / 2, transfer_s, max_bytes
             )
 
-    async def _call(self, method, path, data, fresh, timeout_s, transfer_s):
+    async def _call(
+        self, method, path, data, fresh, timeout_s, transfer_s, max_bytes
+    ):
         loop = asyncio.get_running_loop()
         last = loop.time() + timeout_s + transfer_s
         try:
@@ -220,12 +230,15 @@
                 async with self.request(
                     method, path, data=data, fresh=fresh
                 ) as resp:
-                    return resp.status, await read_message(resp, extend)
+                    body = await read_message(resp, extend, max_bytes)
+                    return resp.status, body
         except TimeoutError as exc:
             raise LostError(f'no answer within {timeout_s} s') from exc
 
 
-async def read_message(resp, on_part=lambda: None):
+async def read_message(
+    resp, on_part=lambda: None, max_bytes=MAX_MESSAGE_BYTES
+):
     """Return the whole body of a response from another host or the store.
 
     Parameters
@@ -234,11 +247,13 @@
         The response whose body is read.
     on_part : callable, optional
         Called after each part of the body.
+    max_bytes : int
+        Maximum length of the body in bytes.
 
     Raises
     ======
     LostError
-        If the body is truncated or longer than MAX_MESSAGE_BYTES.
+        If the body is truncated or too long.
     """
     parts = []
     size = 0
@@ -247,8 +262,8 @@
             on_part()
             parts.append(part)
             size += len(part)
-            if size > MAX_MESSAGE_BYTES:
-                raise LostError(f'body longer than {MAX_MESSAGE_BYTES} bytes')
+            if size > max_bytes:
+                raise LostError(f'body longer than {max_bytes} bytes')
     except (aiohttp.ClientError, OSError) as exc:
         raise LostError(type(exc).__name__) from exc
     return b''.join(parts)
--- a/ebonypick/connection/tests/test_endless.py
+++ b/ebonypick/connection/tests/test_endless.py
@@ -1,6 +1,7 @@
 """Tests of bounded memory with servers that send bytes without end."""
 
 import asyncio
+import contextlib
 import itertools
 import tracemalloc
 
@@ -203,3 +204,31 @@
     # ``call_json`` sends the request twice, and the bytes in the socket
     # buffers add to the sum.
     assert endless.sent < 4 * _pool.MAX_MESSAGE_BYTES
+
+
+def test_endless_load_reports_are_cut_off_early():
+    """Guards against faulty servers that fill the memory by their reports."""
+    endless = _EndlessServer(OK + b'\r\n', PART)
+
+    async def scenario():
+        server = await asyncio.start_server(endless.serve, '127.0.0.1', 0)
+        async with server, contextlib.AsyncExitStack() as stack:
+            address = server.sockets[0].getsockname()[:2]
+            links = [
+                await stack.enter_async_context(
+                    connection.make_backend_link('http', f's{n}', *address)
+                )
+                for n in range(SERVERS)
+            ]
+            tracemalloc.start()
+            try:
+                found = await asyncio.gather(
+                    *(link.report() for link in links), return_exceptions=True
+                )
+                return found, tracemalloc.get_traced_memory()[1]
+            finally:
+                tracemalloc.stop()
+
+    found, peak = asyncio.run(scenario())
+    assert {type(exc) for exc in found} == {connection.LostError}
+    assert peak < SERVERS * _exchange.MAX_BUFFERED_BYTES
