End an answer that stalls at the deadline of its request (own interface)

Seen in a test: a caller with a deadline of 1 s got no answer in 10 s, as its server had sent half of a short answer and then nothing. A chunk extension without end did the same.

A short body is read completely before it is passed on, without a limit.

Change: the body is read until the deadline; then the attempt counts as lost.

Evidence: test_an_answer_that_stalls_ends_at_the_deadline timed out before and passes now. Ruled out: streamed bodies, which end after 5 s without a byte, and the steering host, which limits each request as a whole.

--- a/ebonypick/process/_attempt.py
+++ b/ebonypick/process/_attempt.py
@@ -1,5 +1,6 @@
 """One attempt to send a request to a backend server or another owner."""
 
+import asyncio
 import contextlib
 import dataclasses
 import time
@@ -62,14 +63,27 @@
             await self.stack.aclose()
 
 
-async def _read_answer(answer, resp):
+async def _read_answer(answer, resp, timeout_s):
+    """Read the whole of a short answer, or the start of a long one.
+
+    Raises
+    ======
+    connection.LostError
+        If the answer is truncated or takes longer than ``timeout_s``.
+    """
     answer.status = resp.status
     answer.headers = connection.headers.end_to_end(resp.headers.items())
     answer.resp = resp
     length = resp.headers.get('content-length')
     small = length is not None and int(length) <= ANSWER_BUFFER_BYTES
     limit = ANSWER_BUFFER_BYTES + 1 if small else 1
-    answer.start, answer.complete = await connection.read_start(resp, limit)
+    try:
+        async with asyncio.timeout(timeout_s):
+            answer.start, answer.complete = await connection.read_start(
+                resp, limit
+            )
+    except TimeoutError as exc:
+        raise connection.LostError('no whole answer in time') from exc
 
 
 class Attempt:
@@ -181,7 +195,7 @@
                 )
                 answer.reason = 'shed'
             else:
-                await _read_answer(answer, resp)
+                await _read_answer(answer, resp, self._remaining_s())
         except connection.ConnectFailedError as exc:
             finish = request.Result.CONNECT_FAILED
             answer.outcome = request.Outcome.NOT_RUN
@@ -274,7 +288,7 @@
         text = resp.headers.get(names.OUTCOME, 'unknown')
         answer.outcome = request.Outcome(text)
         if answer.outcome is request.Outcome.DONE:
-            await _read_answer(answer, resp)
+            await _read_answer(answer, resp, self._remaining_s())
             return
         answer.reason = f'{answer.source} answered {resp.status}'
         retry_after = resp.headers.get(names.RETRY_AFTER)
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -54,6 +54,7 @@
     reset_before_run: int = 0
     reset_after_run: int = 0
     truncate: int = 0
+    stall: int = 0
     foreign: int = 0
     lie_free: bool = False
     service_ms: float | None = None
@@ -208,6 +209,10 @@
                 'sha256': digest,
             }
         )
+        if not foreign and self._consume_fault('stall'):
+            await req.start(200, headers, len(body))
+            await req.write(body[: len(body) // 2])
+            await asyncio.sleep(3600)
         # A foreign answer is complete, so only its request id reveals it.
         if not foreign and self._consume_fault('truncate'):
             await req.start(200, headers, len(body))
--- a/tests/test_input.py
+++ b/tests/test_input.py
@@ -121,6 +121,18 @@
     assert headers['ebonypick-outcome'] == 'not-run'
 
 
+def test_an_answer_that_stalls_ends_at_the_deadline(deployment):
+    """Guards against requests that wait for the rest of an answer forever."""
+    for name in deployment.backend_rows():
+        deployment.backend_faults(name, stall=1)
+    raw = request('/items/stalled', 'POST', Ebonypick_Deadline_Ms='1000')
+    started_at = time.monotonic()
+    status, headers, _ = parse(exchange(deployment, raw))
+    assert status in (502, 504)
+    assert headers['ebonypick-outcome'] == 'unknown'
+    assert time.monotonic() - started_at < 2.0
+
+
 @pytest.mark.parametrize('path', ['/v1/status', '/metrics', '/peer/v1/config'])
 def test_control_interfaces_are_for_allowed_networks(deployment, path):
     """Addresses outside the control networks receive 403."""
