Send each attempt to a home by the version in force (HOME)

Seen here: a read whose server lost its answer was sent once more to the former home of its route, though its host already applied a version with another one.

Cause: a request keeps the route of the version that accepted it, and with it the homes, for as long as it lasts; also while a connection to another region is opened.

Change: the choice of a server and of another host asks for the regions by the version in force at each attempt, and both kinds of attempt ask once more when the connection is open, and withhold the request if the home has moved. EP1211 has the version in force and the homes.

--- a/ebonypick/events.py
+++ b/ebonypick/events.py
@@ -130,6 +130,8 @@
     'limit_per_s',
     'passed_limited',
     'config',
+    'in_force',
+    'homes',
 )
 ATTEMPT_ENDED = define(
     'EP1212',
--- a/ebonypick/process/_attempt_series.py
+++ b/ebonypick/process/_attempt_series.py
@@ -155,7 +155,7 @@
         asked = {attempt.host for attempt in self._attempts} - {None}
         host = None
         if len(asked) < MAX_HOSTS_ASKED:
-            host = self._node.relays.choose(self._job.route.regions, asked)
+            host = self._node.relays.choose(self._regions(), asked)
         if host is not None:
             return functools.partial(
                 _host_attempt.HostAttempt,
@@ -209,12 +209,15 @@
         except errors.WithheldError as exc:
             raise self._refusal(exc) from exc
 
+    def _regions(self):
+        return self._job.regions(self._node.board.version)
+
     def _ask(self):
         job = self._job
         return request.Ask(
             job.service,
             job.object_key,
-            job.route.regions,
+            self._regions(),
             job.route.priority,
             job.remaining_s(),
             frozenset(attempt.instance for attempt in self._attempts),
--- a/ebonypick/process/_host_attempt.py
+++ b/ebonypick/process/_host_attempt.py
@@ -83,6 +83,13 @@
         rows.append((connection.headers.ATTEMPTS, str(self._attempts)))
         pool = self._node.relays.pool(self.host)
         async with pool.connection(self._job.head.req) as conn:
+            centre = self._node.centre_of(self.host)
+            if not self._node.in_home(self._job, centre):
+                return _job.AttemptResult(
+                    request.Outcome.NOT_RUN,
+                    'withheld: a new version moved the home of its route',
+                    may_have_arrived=False,
+                )
             self.sent = self._attempts
             await _transfer.send_request(conn, self._job, rows)
             answer = await conn.head()
--- a/ebonypick/process/_job.py
+++ b/ebonypick/process/_job.py
@@ -61,6 +61,20 @@
         """The object key of the request; None if its route is not sticky."""
         return self.head.object_key if self.route.sticky else None
 
+    def regions(self, cfg):
+        """Return the regions that may get the request; empty for all.
+
+        A newer version than the one that accepted the request may have moved
+        the homes of its route.
+
+        Parameters
+        ==========
+        cfg : version.TrafficConfig
+            The version in force.
+        """
+        route = cfg.find(self.head.host, self.req.path)
+        return self.route.regions if route is None else route.regions
+
     def remaining_s(self):
         """Return the seconds left until the deadline."""
         return self.end_at - time.monotonic()
--- a/ebonypick/process/_server_attempt.py
+++ b/ebonypick/process/_server_attempt.py
@@ -118,6 +118,8 @@
             limit_per_s=self._choice.limit_per_s,
             passed_limited=self._choice.passed_limited,
             config=self._job.cfg.number,
+            in_force=self._node.board.number,
+            homes=sorted(self._job.regions(self._node.board.version)),
         )
 
     def _log_ended(self, result):
@@ -133,11 +135,10 @@
     async def _exchange(self, entry):
         pool = self._node.pool(entry)
         async with pool.connection(self._job.head.req) as conn:
-            if self._node.fleet.withholds(self._ticket, time.monotonic()):
+            why = self._withheld_reason(entry)
+            if why is not None:
                 return _job.AttemptResult(
-                    request.Outcome.NOT_RUN,
-                    'withheld: the server asked for a pause or named a limit',
-                    may_have_arrived=False,
+                    request.Outcome.NOT_RUN, why, may_have_arrived=False
                 )
             self.sent = True
             await self._send(conn, entry)
@@ -158,6 +159,17 @@
                 return dataclasses.replace(result, answer=None)
             return await self._stream(conn, answer)
 
+    def _withheld_reason(self, entry):
+        """Return why the server may not get the request any more, or None.
+
+        Opening a connection to another region takes some time.
+        """
+        if self._node.fleet.withholds(self._ticket, time.monotonic()):
+            return 'withheld: the server asked for a pause or named a limit'
+        if not self._node.in_home(self._job, entry.data_centre):
+            return 'withheld: a new version moved the home of its route'
+        return None
+
     def _apply_answer(self, entry, head, failed):
         """Update the state of the server from the headers of its answer."""
         news = self._node.fleet.answered(
--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -298,6 +298,19 @@
             )
         return limit
 
+    def in_home(self, job, centre):
+        """Return whether a data centre may get a request by the version now.
+
+        Parameters
+        ==========
+        job : Job
+            The request.
+        centre : str
+            The data centre of the server or host.
+        """
+        regions = job.regions(self.board.version)
+        return not regions or self.settings.data_centres.get(centre) in regions
+
     def pool(self, entry):
         """Return the connection pool of a backend server."""
         return self._pools.get(
--- a/ebonypick/process/tests/test_attempt_series.py
+++ b/ebonypick/process/tests/test_attempt_series.py
@@ -39,6 +39,7 @@
 def _run(monkeypatch, first, relayed=False, host=None, second=None):
     """Run a read whose first attempt is at a server, others at a host."""
     node = types.SimpleNamespace(
+        board=types.SimpleNamespace(version=None),
         reach=types.SimpleNamespace(cut_off=False),
         has_time_for=lambda job, received_at: True,
         crashes=types.SimpleNamespace(check=lambda job: None),
@@ -58,11 +59,11 @@
         relayed=relayed,
         max_attempts=3,
         route=types.SimpleNamespace(
-            regions=frozenset(),
             priority=1,
             kind=types.SimpleNamespace(idempotent=True),
             objective_s=1.0,
         ),
+        regions=lambda cfg: frozenset(),
         remaining_s=lambda: 1.0,
         body=types.SimpleNamespace(repeatable=True),
     )
