Prove two mechanisms by the tests that need them

Two of the new cuts passed without their mechanism: a request whose usual time does not fit is now caught by the rule of late requests in the scene, so the play of a planned stop is its proof; and the pause of a connection, not the size at which it starts, bounds what is held. Both fail now as they should.

--- a/bin/prove_needed.py
+++ b/bin/prove_needed.py
@@ -249,7 +249,7 @@
         'ebonypick/request/_planned_stop.py',
         'return self.end_at - now > TIME_RATIO * work_s',
         'return True',
-        ('tests/test_late_in_a_stop.py',),
+        ('ebonypick/request/tests/test_planned_stop.py',),
     ),
     Cut(
         'planned stops',
@@ -678,7 +678,7 @@
         'bytes without end are not kept',
         'a long body is received while it is read',
         'ebonypick/connection/_exchange.py',
-        'pending.max_size = 0',
+        'self._transport.pause_reading()',
         'pass',
         (
             'ebonypick/connection/tests/test_endless.py',
