--- a/ebonypick/process/_host_attempt.py
+++ b/ebonypick/process/_host_attempt.py
@@ -87,7 +87,7 @@
             if not self._node.in_home(self._job, centre):
                 return _job.AttemptResult(
                     request.Outcome.NOT_RUN,
-                    'withheld: a new version moved the home of its route',
+                    _job.MOVED_HOME,
                     may_have_arrived=False,
                 )
             self.sent = self._attempts
--- a/ebonypick/process/_job.py
+++ b/ebonypick/process/_job.py
@@ -7,6 +7,9 @@
 from ebonypick import connection
 from ebonypick import request
 
+# Why an attempt is not sent after its connection has been opened.
+MOVED_HOME = 'withheld: a new version moved the home of the route'
+
 
 @dataclasses.dataclass(frozen=True)
 class Job:
--- a/ebonypick/process/_server_attempt.py
+++ b/ebonypick/process/_server_attempt.py
@@ -167,7 +167,7 @@
         if self._node.fleet.withholds(self._ticket, time.monotonic()):
             return 'withheld: the server asked for a pause or named a limit'
         if not self._node.in_home(self._job, entry.data_centre):
-            return 'withheld: a new version moved the home of its route'
+            return _job.MOVED_HOME
         return None
 
     def _apply_answer(self, entry, head, failed):
--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -69,6 +69,7 @@
         )
         self.leaving = False
         self.in_flight = 0
+        # The planned stop, once it has begun.
         self._stop = None
         self._rng = random.Random(uuid.uuid4().int)
         self.fleet = request.Fleet(
@@ -299,7 +300,7 @@
         return limit
 
     def in_home(self, job, centre):
-        """Return whether a data centre may get a request by the version now.
+        """Return whether the version in force allows a data centre.
 
         Parameters
         ==========
