Log each decision of the limit on repeats (BUDGET)

The logs could not tell why a service got too many repeats: neither what a host still allowed itself nor by how many hosts it divided the slack was written anywhere. EP1215 has both for each request that wants a repeat, and ebonypick_repeats counts them. The limits of a host move to a module of their own; no decision changes.

--- a/ebonypick/events.py
+++ b/ebonypick/events.py
@@ -168,6 +168,16 @@
     'took_ms',
     'config',
 )
+REPEAT_DECIDED = define(
+    'EP1215',
+    'The limit on repeated attempts allowed a repeat of a request or '
+    'refused it.',
+    'req',
+    'service',
+    'allowed',
+    'room',
+    'hosts',
+)
 BACKEND_CHANGED = define(
     'EP1301', 'A backend server changed its state.', 'backend', 'state', 'why'
 )
--- a/ebonypick/process/_attempt_series.py
+++ b/ebonypick/process/_attempt_series.py
@@ -229,8 +229,7 @@
         work_s = self._node.fleet.work_s(self._job.service)
         if self._job.remaining_s() < MIN_REPEAT_SHARE * work_s:
             return False
-        limit = self._node.repeat_limit(self._job.service)
-        return limit.take(self._node.roster.count(), time.monotonic())
+        return self._node.repeats.take(self._job)
 
     def _rejected_error(self, rejection):
         if self._may_have_run:
--- a/ebonypick/process/_forward.py
+++ b/ebonypick/process/_forward.py
@@ -156,8 +156,7 @@
             BODY_BUFFER_BYTES,
         )
         if not self._relayed:
-            limit = self._node.repeat_limit(self._service)
-            limit.note_request(time.monotonic())
+            self._node.repeats.note_request(self._service)
         return _job.Job(
             self._req,
             self._head,
--- a/ebonypick/process/_metrics.py
+++ b/ebonypick/process/_metrics.py
@@ -33,6 +33,12 @@
             ['service', 'result'],
             registry=self.registry,
         )
+        self.repeats = prometheus_client.Counter(
+            'ebonypick_repeats',
+            'Repeated attempts that the common limit allowed or refused.',
+            ['service', 'result'],
+            registry=self.registry,
+        )
         self.limited_backends = prometheus_client.Gauge(
             'ebonypick_limited_backends',
             'Backend servers that name a limit of requests.',
--- /dev/null
+++ b/ebonypick/process/_repeats.py
@@ -0,0 +1,61 @@
+"""The limits on repeated attempts that one steering host keeps."""
+
+import time
+
+from ebonypick import events
+from ebonypick import request
+from ebonypick import spans
+
+
+class Repeats:
+    """Owns the limit on repeated attempts of each service.
+
+    Parameters
+    ==========
+    node : SteeringHost
+        The process.
+    """
+
+    def __init__(self, node):
+        self._node = node
+        self._limits = {}
+
+    def note_request(self, service):
+        """Count a request of a caller for a service."""
+        self._limit(service).note_request(time.monotonic())
+
+    def take(self, job):
+        """Return whether a request may be sent once more; if so, count it."""
+        service = job.service
+        limit = self._limit(service)
+        hosts = self._node.roster.count()
+        now = time.monotonic()
+        room = limit.room(hosts, now)
+        allowed = limit.take(hosts, now)
+        events.REPEAT_DECIDED.log(
+            req=job.head.req,
+            service=service,
+            allowed=allowed,
+            room=round(room, 2),
+            hosts=hosts,
+        )
+        result = 'allowed' if allowed else 'refused'
+        self._node.metrics.repeats.labels(service, result).inc()
+        return allowed
+
+    def forget(self):
+        """Start anew with the terms of changed settings."""
+        self._limits = {}
+
+    def _limit(self, service):
+        limit = self._limits.get(service)
+        if limit is None:
+            terms = self._node.settings.terms
+            limit = self._limits[service] = request.RepeatLimit(
+                request.RepeatTerms(
+                    terms.repeat_ratio,
+                    spans.parse_span_s(terms.repeat_window),
+                    terms.repeat_slack,
+                )
+            )
+        return limit
--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -20,6 +20,7 @@
 from ebonypick.process import _peer_directory
 from ebonypick.process import _reach
 from ebonypick.process import _relays
+from ebonypick.process import _repeats
 from ebonypick.process import _roster
 from ebonypick.process import _steering_control
 from ebonypick.process import _store_view
@@ -105,7 +106,7 @@
         self.store_view = _store_view.StoreView(self)
         self._control = _steering_control.Control(self)
         self._service_turns = {}
-        self._repeat_limits = {}
+        self.repeats = _repeats.Repeats(self)
         self._pools = connection.ServerPools(self.reach.note_opened)
         self._callers = None
         self._relayed = None
@@ -285,20 +286,6 @@
             )
         return turns.take(route.shares)
 
-    def repeat_limit(self, service):
-        """Return the limit on repeated attempts of a service."""
-        limit = self._repeat_limits.get(service)
-        if limit is None:
-            terms = self.settings.terms
-            limit = self._repeat_limits[service] = request.RepeatLimit(
-                request.RepeatTerms(
-                    terms.repeat_ratio,
-                    spans.parse_span_s(terms.repeat_window),
-                    terms.repeat_slack,
-                )
-            )
-        return limit
-
     def in_home(self, job, centre):
         """Return whether the version in force allows a data centre.
 
@@ -396,7 +383,7 @@
         )
         if changed:
             self.settings = settings
-            self._repeat_limits = {}
+            self.repeats.forget()
             self.fleet.set_regions(settings.data_centres)
 
 
--- a/ebonypick/process/tests/test_attempt_series.py
+++ b/ebonypick/process/tests/test_attempt_series.py
@@ -48,10 +48,7 @@
             work_s=lambda service: 0.0,
         ),
         relays=types.SimpleNamespace(choose=lambda regions, asked: host),
-        repeat_limit=lambda service: types.SimpleNamespace(
-            take=lambda hosts, now: True
-        ),
-        roster=types.SimpleNamespace(count=lambda: 1),
+        repeats=types.SimpleNamespace(take=lambda job: True),
     )
     job = types.SimpleNamespace(
         service='s',
--- a/ebonypick/request/_retry_limit.py
+++ b/ebonypick/request/_retry_limit.py
@@ -61,8 +61,8 @@
         self._requests.append(now)
         self._trim(self._requests, now)
 
-    def take(self, hosts, now):
-        """Return whether a retry is allowed; if so, count it.
+    def room(self, hosts, now):
+        """Return the number of retries that are allowed now.
 
         Parameters
         ==========
@@ -75,7 +75,19 @@
         self._trim(self._repeats, now)
         allowed = self._terms.ratio * RATIO_SHARE * len(self._requests)
         allowed += self._terms.slack * SLACK_SHARE / max(1, hosts)
-        if len(self._repeats) + 1 > allowed:
+        return allowed - len(self._repeats)
+
+    def take(self, hosts, now):
+        """Return whether a retry is allowed; if so, count it.
+
+        Parameters
+        ==========
+        hosts : int
+            Number of live entry hosts, including this one.
+        now : float
+            Monotonic time in seconds.
+        """
+        if self.room(hosts, now) < 1:
             return False
         self._repeats.append(now)
         return True
