Let each request earn a part of a repeat, kept by its host (BUDGET)

Cause: a bound over all hosts was worked out from one host's view of the moment. Its record of 10 s ended with the process, so a restarted host spent its part once more; the slack was divided by the hosts heard, so a host cut off from all others took the part of all; a reload of settings began anew.

A window has at most what was kept at its start and what its own requests earned.

The setting repeat_window is still read, as files have it.

--- a/ebonypick/process/_repeats.py
+++ b/ebonypick/process/_repeats.py
@@ -1,10 +1,7 @@
 """The limits on repeated attempts that one steering host keeps."""
 
-import time
-
 from ebonypick import events
 from ebonypick import request
-from ebonypick import spans
 
 
 class Repeats:
@@ -22,16 +19,16 @@
 
     def note_request(self, service):
         """Count a request of a caller for a service."""
-        self._limit(service).note_request(time.monotonic())
+        self._limit(service).note_request()
 
     def take(self, job):
         """Return whether a request may be sent once more; if so, count it."""
         service = job.service
         limit = self._limit(service)
-        hosts = self._node.roster.count()
-        now = time.monotonic()
-        room = limit.room(hosts, now)
-        allowed = limit.take(hosts, now)
+        # A host that is not heard may send retries all the same.
+        hosts = self._node.roster.listed_count()
+        room = limit.room(hosts)
+        allowed = limit.take(hosts)
         events.REPEAT_DECIDED.log(
             req=job.head.req,
             service=service,
@@ -52,10 +49,6 @@
         if limit is None:
             terms = self._node.settings.terms
             limit = self._limits[service] = request.RepeatLimit(
-                request.RepeatTerms(
-                    terms.repeat_ratio,
-                    spans.parse_span_s(terms.repeat_window),
-                    terms.repeat_slack,
-                )
+                request.RepeatTerms(terms.repeat_ratio, terms.repeat_slack)
             )
         return limit
--- a/ebonypick/process/_roster.py
+++ b/ebonypick/process/_roster.py
@@ -121,9 +121,10 @@
         }
         return request.serving_hosts(hosts, self._node.settings.data_centres)
 
-    def count(self):
-        """Return the number of hosts that take requests, at least one."""
-        return sum(len(names) for names in self.live().values()) or 1
+    def listed_count(self):
+        """Return the number of hosts in the store's list, lost ones too."""
+        listed = self._node.connections.centres()
+        return sum(len(names) for names in listed.values())
 
     def _centres_of_region(self):
         regions = self._node.settings.data_centres
--- a/ebonypick/process/_steering_settings.py
+++ b/ebonypick/process/_steering_settings.py
@@ -36,7 +36,8 @@
     repeat_ratio : float
         Maximum ratio of repeats to requests, over all hosts.
     repeat_window : str
-        Window in which repeats and requests are counted.
+        Window of the operator's bound. Hosts need no window: what they earn
+        keeps the bound in windows of any length.
     repeat_slack : float
         Number of repeats allowed beyond the ratio.
     """
--- a/ebonypick/request/_retry_limit.py
+++ b/ebonypick/request/_retry_limit.py
@@ -3,16 +3,26 @@
 Load: servers that fail or shed a large part of their requests. Without a
 bound, each entry host would retry them, and the service would receive a
 multiple of the requests that callers sent.
+
+Each host earns a part of a retry with each request and keeps a bounded number
+of them. A window then has at most the retries that were kept when it began
+and those that its own requests earned, whichever hosts took them, and a host
+that starts has none. So restarts, cuts and callers that move from host to host
+need no message to stay within the bound.
 """
 
-import collections
 import dataclasses
 
-# Hosts temporarily disagree about the number of live hosts, and a restarted
-# host starts counting at zero. Half of the common slack is reserved for both.
-SLACK_SHARE = 0.5
-# The windows of the hosts are not synchronized, which this margin covers.
+# Share of the common slack that all hosts together may keep. The rest covers
+# retries that arrive later than they were allowed, and hosts that disagree
+# about the number of hosts.
+SLACK_SHARE = 0.75
+# Hosts note a request and its retries at other times than the servers do,
+# which this margin covers.
 RATIO_SHARE = 0.8
+# A host keeps up to this many retries in any case; with fewer it could never
+# send one. The margins cover it where a host takes 25 requests a window.
+MIN_KEPT = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -23,14 +33,11 @@
     ==========
     ratio : float
         Retries per request of a caller.
-    window_s : float
-        Length in seconds of the window in which both are counted.
     slack : float
         Retries allowed in each window in addition to the ratio.
     """
 
     ratio: float = 0.1
-    window_s: float = 10.0
     slack: float = 0.0
 
 
@@ -40,54 +47,45 @@
     Examples
     ========
     >>> limit = RepeatLimit(RepeatTerms(ratio=0.5, slack=4))
-    >>> [limit.take(hosts=2, now=0.0) for _ in range(2)]
-    [True, False]
-    >>> for _ in range(5): limit.note_request(1.0)
-    >>> [limit.take(hosts=2, now=1.0) for _ in range(3)]
-    [True, True, False]
+    >>> limit.take(hosts=2)
+    False
+    >>> for _ in range(10): limit.note_request()
+    >>> limit.room(hosts=2)
+    1.5
+    >>> limit.take(hosts=2), limit.take(hosts=2)
+    (True, False)
     """
 
     def __init__(self, terms):
         self._terms = terms
-        self._requests = collections.deque()
-        self._repeats = collections.deque()
-
-    def _trim(self, times, now):
-        while times and times[0] <= now - self._terms.window_s:
-            times.popleft()
+        self._kept = 0.0
 
-    def note_request(self, now):
+    def note_request(self):
         """Count a request of a caller."""
-        self._requests.append(now)
-        self._trim(self._requests, now)
+        self._kept += self._terms.ratio * RATIO_SHARE
 
-    def room(self, hosts, now):
+    def room(self, hosts):
         """Return the number of retries that are allowed now.
 
         Parameters
         ==========
         hosts : int
-            Number of live entry hosts, including this one.
-        now : float
-            Monotonic time in seconds.
+            Number of entry hosts that may send retries, including this one
+            and those that it cannot hear.
         """
-        self._trim(self._requests, now)
-        self._trim(self._repeats, now)
-        allowed = self._terms.ratio * RATIO_SHARE * len(self._requests)
-        allowed += self._terms.slack * SLACK_SHARE / max(1, hosts)
-        return allowed - len(self._repeats)
+        share = self._terms.slack * SLACK_SHARE / max(1, hosts)
+        return min(self._kept, max(MIN_KEPT, share))
 
-    def take(self, hosts, now):
+    def take(self, hosts):
         """Return whether a retry is allowed; if so, count it.
 
         Parameters
         ==========
         hosts : int
-            Number of live entry hosts, including this one.
-        now : float
-            Monotonic time in seconds.
+            As for ``room``.
         """
-        if self.room(hosts, now) < 1:
+        self._kept = self.room(hosts)
+        if self._kept < 1:
             return False
-        self._repeats.append(now)
+        self._kept -= 1
         return True
