Log the size of versions and of rows that are not delivered (CONFIG)

Whether large versions fill the links of hosts could not be told from logs: EP1401 and EP1414 now have the bytes, ebonypick_row_bytes counts the bytes of rows sent to other hosts. No decision changes.

--- a/ebonypick/events.py
+++ b/ebonypick/events.py
@@ -202,6 +202,7 @@
     'version',
     'digest',
     'source',
+    'bytes',
 )
 CONFIG_IGNORED = define(
     'EP1402',
@@ -271,6 +272,7 @@
     'table',
     'peer',
     'why',
+    'bytes',
 )
 GOSSIP_FAILED = define(
     'EP1416',
--- a/ebonypick/process/_config_reader.py
+++ b/ebonypick/process/_config_reader.py
@@ -190,6 +190,9 @@
                 # The empty bundle at number 0 stays for new hosts.
                 del self._bundles[list(self._bundles)[1]]
             events.CONFIG_IN_FORCE.log(
-                version=number, digest=digest[:12], source=source
+                version=number,
+                digest=digest[:12],
+                source=source,
+                bytes=None,
             )
             self._node.apply_configuration(found)
--- a/ebonypick/process/_metrics.py
+++ b/ebonypick/process/_metrics.py
@@ -103,6 +103,11 @@
             'Bytes of membership messages, sent and received.',
             registry=self.registry,
         )
+        self.row_bytes = prometheus_client.Counter(
+            'ebonypick_row_bytes',
+            'Bytes of rows of the store sent to other hosts.',
+            registry=self.registry,
+        )
         self.gossip_round = prometheus_client.Gauge(
             'ebonypick_gossip_round_seconds',
             'Time between two rounds of membership messages.',
--- a/ebonypick/process/_row_broadcast.py
+++ b/ebonypick/process/_row_broadcast.py
@@ -182,6 +182,7 @@
         if pool is None:
             return False
         data = msgspec.json.encode(message)
+        self._node.metrics.row_bytes.inc(len(data))
         try:
             status, _ = await pool.call_json(
                 'POST',
@@ -194,6 +195,7 @@
                 table=message.subject,
                 peer=name,
                 why=repr(exc),
+                bytes=len(data),
             )
             return False
         return status == 204
--- a/ebonypick/process/_steering_control.py
+++ b/ebonypick/process/_steering_control.py
@@ -124,6 +124,7 @@
             await req.respond(204, [])
             return
         body = msgspec.json.encode(follower.rows_since(after))
+        self._node.metrics.row_bytes.inc(len(body))
         await req.respond(200, JSON, body)
 
 
--- a/ebonypick/process/_store_view.py
+++ b/ebonypick/process/_store_view.py
@@ -107,7 +107,10 @@
         self._node.apply_limits(cfg.limits)
         self._node.metrics.config.set(cfg.number)
         events.CONFIG_IN_FORCE.log(
-            version=cfg.number, digest=None, source='store'
+            version=cfg.number,
+            digest=None,
+            source='store',
+            bytes=len(data),
         )
 
     def _era_of_config(self):
--- a/ebonypick/process/_table_follower.py
+++ b/ebonypick/process/_table_follower.py
@@ -385,4 +385,6 @@
             # Raised for a value that is not valid base64.
             ValueError,
         ) as exc:
-            events.PEER_FAILED.log(table=self._table, peer=None, why=repr(exc))
+            events.PEER_FAILED.log(
+                table=self._table, peer=None, why=repr(exc), bytes=None
+            )
--- a/ebonypick/process/tests/test_row_broadcast.py
+++ b/ebonypick/process/tests/test_row_broadcast.py
@@ -9,6 +9,7 @@
 
 from ebonypick import connection
 from ebonypick import platform
+from ebonypick.process import _metrics
 from ebonypick.process import _row_broadcast
 from ebonypick.process import _row_messages
 from ebonypick.process import _table_follower
@@ -62,6 +63,7 @@
         pools = {n: self._pool(name, n) for n in names}
         node = types.SimpleNamespace(
             settings=types.SimpleNamespace(host=name),
+            metrics=_metrics.Metrics(),
             store_view=types.SimpleNamespace(
                 receive_leaving=lambda *call: self.leaving[name].append(call)
             ),
