--- a/ebonypick/process/tests/test_row_broadcast.py
+++ b/ebonypick/process/tests/test_row_broadcast.py
@@ -1,8 +1,11 @@
 """Broadcast trees over the hosts of a region."""
 
 import asyncio
+import base64
 import collections
+import random
 import types
+import zlib
 
 import msgspec
 import pytest
@@ -29,6 +32,37 @@
     )
 
 
+def _large_version():
+    """Return the row of a version with 1,400 routes."""
+    rng = random.Random(1)
+    paths = [
+        {
+            'name': f'r-{rng.randbytes(4).hex()}',
+            'prefix': f'/{rng.randbytes(4).hex()}/',
+            'kind': 'safe',
+            'timeout': '2000ms',
+            'targetLatency': '685ms',
+            'priority': 2,
+            'service': 'registry',
+            'maxAttempts': 2,
+            'sessionAffinity': True,
+            'allowedRegions': [],
+        }
+        for _ in range(1_400)
+    ]
+    value = base64.b64encode(msgspec.json.encode(paths)).decode()
+    revision = platform.Revision(0, 7)
+    return _row_messages.PeerRows(
+        TABLE, platform.NO_REVISION, revision, (('config', revision, value),)
+    )
+
+
+def _expanded(data, headers):
+    if ('content-encoding', 'deflate') in headers:
+        return zlib.decompress(data)
+    return data
+
+
 class _Region:
     """Hosts that exchange messages without a network.
 
@@ -42,10 +76,12 @@
         The hosts that a host considers alive, where these are not all.
     """
 
-    def __init__(self, names, unreachable=(), views=()):
+    def __init__(self, names, unreachable=(), views=(), deflates=True):
+        self._deflates = deflates
         self.unreachable = set(unreachable)
         self.received = collections.Counter()
         self.sent = collections.Counter()
+        self.received_bytes = collections.Counter()
         self.tasks = []
         self.leaving = collections.defaultdict(list)
         self.broadcasters = {
@@ -61,6 +97,10 @@
             lambda: (),
         )
         pools = {n: self._pool(name, n) for n in names}
+        rows = {
+            n: types.SimpleNamespace(peers='', deflates=self._deflates)
+            for n in names
+        }
         node = types.SimpleNamespace(
             settings=types.SimpleNamespace(host=name),
             metrics=_metrics.Metrics(),
@@ -68,7 +108,7 @@
                 receive_leaving=lambda *call: self.leaving[name].append(call)
             ),
             roster=types.SimpleNamespace(of_region=lambda: list(view)),
-            connections=types.SimpleNamespace(peer=pools.get, rows={}),
+            connections=types.SimpleNamespace(peer=pools.get, rows=rows),
             tasks=types.SimpleNamespace(
                 start=lambda coro: self.tasks.append(
                     asyncio.ensure_future(coro)
@@ -78,8 +118,10 @@
         return _row_broadcast.Broadcaster(node, {TABLE: follower})
 
     def _pool(self, source, name):
-        async def call_json(method, path, data, timeout_s):
+        async def call_json(method, path, data, timeout_s, headers=()):
             self.sent[source] += 1
+            self.received_bytes[name] += len(data)
+            data = _expanded(data, headers)
             if name in self.unreachable:
                 raise connection.ConnectFailedError('lost')
             if path == '/peer/v1/leaving':
@@ -90,8 +132,7 @@
 
         return types.SimpleNamespace(call_json=call_json)
 
-    async def _broadcast(self, readers):
-        rows = _rows()
+    async def _broadcast(self, readers, rows):
         for reader in readers:
             follower = self.broadcasters[reader]._followers[TABLE]
             follower.apply_peer_rows(rows)
@@ -99,9 +140,9 @@
         while self.tasks:
             await self.tasks.pop()
 
-    def broadcast(self, *readers):
+    def broadcast(self, *readers, rows=None):
         """Broadcast a change from readers; return the hosts it misses."""
-        asyncio.run(self._broadcast(readers))
+        asyncio.run(self._broadcast(readers, rows or _rows()))
         return set(self.broadcasters) - self.unreachable - set(self.received)
 
 
@@ -177,3 +218,16 @@
     expected = [('i-1', 5, REGION[0])]
     assert all(region.leaving[name] == expected for name in others)
     assert max(region.sent.values()) <= 2 * _row_broadcast.FANOUT
+
+
+def test_a_large_version_takes_little_of_a_narrow_link():
+    """Guards against versions that fill the links that callers share."""
+    region = _Region(REGION[:9])
+    assert region.broadcast(*READERS, rows=_large_version()) == set()
+    # A tenth of a second of a link of 5 Mbit/s.
+    assert max(region.received_bytes.values()) <= 62_500
+
+
+def test_a_host_of_an_earlier_release_gets_rows_that_it_can_read():
+    region = _Region(REGION[:9], deflates=False)
+    assert region.broadcast(*READERS, rows=_large_version()) == set()
--- a/tests/test_large_versions.py
+++ b/tests/test_large_versions.py
@@ -18,6 +18,10 @@
 # The users' limit: a version is in force everywhere within this time.
 CONFIG_S = soak_world.CONFIG_S
 GIVE_UP_S = 15.0
+# Versions that follow each other, on a link of 5 Mbit/s.
+VERSIONS = 8
+VERSION_INTERVAL_S = 0.5
+NARROW_BYTES_PER_S = 625_000
 
 
 def _grown_config(number):
@@ -51,9 +55,9 @@
     return next(name for name in names if name not in readers)
 
 
-def _narrow(world, name):
+def _narrow(world, name, bytes_per_s=BYTES_PER_S):
     """Let all traffic of a host with other hosts share a narrow link."""
-    link = proxy.Link(BYTES_PER_S)
+    link = proxy.Link(bytes_per_s)
     for other in world.names():
         links = world.proxies[f'peers {other}'].links
         links[None if other == name else world.address(name)] = link
@@ -74,3 +78,29 @@
                 return await _until_in_force(world, session) - told_at
 
     assert asyncio.run(run()) <= CONFIG_S
+
+
+def test_large_versions_in_a_row_are_in_force_in_time_on_a_narrow_link(
+    tmp_path,
+):
+    """Guards against versions that wait behind the bytes of earlier ones."""
+
+    async def run():
+        async with soak_world.SoakWorld(tmp_path, SEED, hosts=HOSTS) as world:
+            async with steering_calls.caller_session() as session:
+                await asyncio.sleep(5.0)
+                for centre, region in steering_world.REGIONS.items():
+                    follower = _follower(world, centre, region)
+                    _narrow(world, follower, NARROW_BYTES_PER_S)
+                for last in range(VERSIONS):
+                    await asyncio.sleep(VERSION_INTERVAL_S)
+                    world.config_number += 1
+                    cfg = _grown_config(world.config_number)
+                    if last < VERSIONS - 1:
+                        # The last route comes with the last version.
+                        cfg['hosts'][0]['paths'].pop()
+                    world.tell('config', str(world.config_number), cfg)
+                told_at = time.monotonic()
+                return await _until_in_force(world, session) - told_at
+
+    assert asyncio.run(run()) <= CONFIG_S
