Compress rows that hosts send each other (CONFIG)

Cause: each version is the whole table, 242 KB and 323 KB in base64.

Now rows of 2 KB and more are compressed for hosts whose rows in the store say that they accept it, and answers to hosts that ask for it; others get them as before, so old and new hosts work side by side. Expanding is bounded by the limit of messages.

The stubs of two tests got the new argument; the test of malformed messages also sends compressed ones.

--- a/ebonypick/connection/__init__.py
+++ b/ebonypick/connection/__init__.py
@@ -15,6 +15,7 @@
 from ebonypick.connection._caller_http import make_caller_server
 from ebonypick.connection._caller_http import problem
 from ebonypick.connection._caller_request import CallerRequest
+from ebonypick.connection import _coding as coding
 from ebonypick.connection._exchange import Answer
 from ebonypick.connection import _headers as headers
 from ebonypick.connection._hostlist_http import make_host_list
@@ -54,6 +55,7 @@
     'Transaction',
     'backend_adapters',
     'caller_adapters',
+    'coding',
     'headers',
     'hostlist_adapters',
     'make_backend_link',
--- a/ebonypick/connection/_pool.py
+++ b/ebonypick/connection/_pool.py
@@ -6,6 +6,8 @@
 import aiohttp
 import yarl
 
+from ebonypick.connection import _coding
+
 CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 2.0
 MAX_CONNECTIONS = 300
@@ -178,6 +180,7 @@
         timeout_s=1.0,
         transfer_s=0.0,
         max_bytes=MAX_MESSAGE_BYTES,
+        headers=(),
     ):
         """Send a request with a JSON body; return status and body.
 
@@ -198,25 +201,44 @@
             Maximum time in seconds that the answer may take beyond that, as
             long as its bytes keep arriving.
         max_bytes : int
-            Maximum length of the answer's body in bytes.
+            Maximum length of the answer's body in bytes, also once expanded.
+        headers : iterable of (str, str)
+            Names and values of the header fields.
 
         Raises
         ======
         ConnectFailedError, LostError
             As in ``request``.
         """
-        try:
+
+        async def call(fresh):
             return await self._call(
-                method, path, data, False, timeout_s / 2, transfer_s, max_bytes
+                method,
+                path,
+                headers,
+                data,
+                fresh,
+                timeout_s / 2,
+                transfer_s,
+                max_bytes,
             )
+
+        try:
+            return await call(fresh=False)
         except LostError:
             self.retire()
-            return await self._call(
-                method, path, data, True, timeout_s / 2, transfer_s, max_bytes
-            )
+            return await call(fresh=True)
 
     async def _call(
-        self, method, path, data, fresh, timeout_s, transfer_s, max_bytes
+        self,
+        method,
+        path,
+        headers,
+        data,
+        fresh,
+        timeout_s,
+        transfer_s,
+        max_bytes,
     ):
         loop = asyncio.get_running_loop()
         last = loop.time() + timeout_s + transfer_s
@@ -228,14 +250,24 @@
                         limit.reschedule(min(last, loop.time() + timeout_s))
 
                 async with self.request(
-                    method, path, data=data, fresh=fresh
+                    method, path, headers, data, fresh
                 ) as resp:
                     body = await read_message(resp, extend, max_bytes)
-                    return resp.status, body
+                    return resp.status, _expanded(resp, body, max_bytes)
         except TimeoutError as exc:
             raise LostError(f'no answer within {timeout_s} s') from exc
 
 
+def _expanded(resp, body, max_bytes):
+    """Return the body of a response without its content coding."""
+    if resp.headers.get('content-encoding') != _coding.CODING:
+        return body
+    try:
+        return _coding.expand(body, max_bytes)
+    except ValueError as exc:
+        raise BadAnswerError(str(exc)) from exc
+
+
 async def read_message(
     resp, on_part=lambda: None, max_bytes=MAX_MESSAGE_BYTES
 ):
--- a/ebonypick/process/_host_rows.py
+++ b/ebonypick/process/_host_rows.py
@@ -137,6 +137,7 @@
             'relays': settings.relays,
             'started_ms': self._node.started_ms,
             'capacity': settings.capacity,
+            'deflates': True,
         }
         key = f'{platform.HOST_TABLE}/{settings.host}'
         transaction = connection.Transaction((), (connection.Put(key, row),))
--- a/ebonypick/process/_peer_directory.py
+++ b/ebonypick/process/_peer_directory.py
@@ -33,6 +33,9 @@
     relays : str
         Endpoint for requests that other hosts pass on; empty for a host of an
         earlier release, which takes none.
+    deflates : bool
+        Whether the host accepts compressed messages; one of an earlier
+        release does not.
     """
 
     callers: str
@@ -41,6 +44,7 @@
     started_ms: json_text.Whole
     capacity: Capacity = 1.0
     relays: str = ''
+    deflates: bool = False
 
 
 def decode_rows(values):
--- a/ebonypick/process/_row_broadcast.py
+++ b/ebonypick/process/_row_broadcast.py
@@ -13,6 +13,7 @@
 """
 
 import asyncio
+import functools
 
 import msgspec
 
@@ -113,6 +114,25 @@
     return tuple(names[n::FANOUT] for n in range(min(FANOUT, len(names))))
 
 
+def _encode(message, names, deflates):
+    """Return the headers and the body of a message.
+
+    Parameters
+    ==========
+    message : Told or ToldLeaving
+        The message.
+    names : tuple of str
+        The hosts to which the receiver forwards it.
+    deflates : bool
+        Whether the receiver accepts compressed messages.
+    """
+    data = msgspec.json.encode(msgspec.structs.replace(message, names=names))
+    if not deflates or len(data) < connection.coding.MIN_BYTES:
+        return (), data
+    headers = (('content-encoding', connection.coding.CODING),)
+    return headers, connection.coding.compress(data)
+
+
 class Broadcaster:
     """Broadcasts changes to other hosts and forwards received broadcasts.
 
@@ -162,26 +182,31 @@
         return request.rendezvous(host, others, len(others))
 
     async def _forward(self, message):
+        # Most subtrees have the same hosts below their first one: none.
+        @functools.cache
+        def encode(names, deflates):
+            return _encode(message, names, deflates)
+
         await asyncio.gather(
             *(
-                self._send_to_subtree(message, part)
+                self._send_to_subtree(message, part, encode)
                 for part in subtrees(message.names)
             )
         )
 
-    async def _send_to_subtree(self, message, names):
+    async def _send_to_subtree(self, message, names, encode):
         """Send a message to the first reachable host of a subtree."""
         while names:
             first, names = names[0], names[1:]
-            rest = msgspec.structs.replace(message, names=names)
-            if await self._send_to(first, rest):
+            row = self._node.connections.rows.get(first)
+            deflates = row is not None and row.deflates
+            if await self._send_to(first, message, *encode(names, deflates)):
                 return
 
-    async def _send_to(self, name, message):
+    async def _send_to(self, name, message, headers, data):
         pool = self._node.connections.peer(name)
         if pool is None:
             return False
-        data = msgspec.json.encode(message)
         self._node.metrics.row_bytes.inc(len(data))
         try:
             status, _ = await pool.call_json(
@@ -189,6 +214,7 @@
                 _PATHS[type(message)],
                 data,
                 timeout_s=BROADCAST_TIMEOUT_S + 2 * len(data) / BYTES_PER_S,
+                headers=headers,
             )
         except (connection.ConnectFailedError, connection.LostError) as exc:
             events.PEER_FAILED.log(
--- a/ebonypick/process/_steering_control.py
+++ b/ebonypick/process/_steering_control.py
@@ -124,8 +124,13 @@
             await req.respond(204, [])
             return
         body = msgspec.json.encode(follower.rows_since(after))
+        headers = JSON
+        accepted = req.headers.get('accept-encoding')
+        if accepted == connection.coding.CODING:
+            body = connection.coding.compress(body)
+            headers = [*JSON, ('content-encoding', accepted)]
         self._node.metrics.row_bytes.inc(len(body))
-        await req.respond(200, JSON, body)
+        await req.respond(200, headers, body)
 
 
 _peer_paths = {
@@ -137,6 +142,8 @@
 
 
 async def _read_body(req):
-    return await _body.read_message(
-        req, connection.MAX_MESSAGE_BYTES, PEER_BODY_TIMEOUT_S
-    )
+    limit = connection.MAX_MESSAGE_BYTES
+    body = await _body.read_message(req, limit, PEER_BODY_TIMEOUT_S)
+    if req.headers.get('content-encoding') == connection.coding.CODING:
+        return connection.coding.expand(body, limit)
+    return body
--- a/ebonypick/process/_table_follower.py
+++ b/ebonypick/process/_table_follower.py
@@ -372,6 +372,7 @@
                 f'/peer/v1/rows?table={self._table}'
                 f'&era={after.era}&after={after.number}',
                 transfer_s=TRANSFER_S,
+                headers=[('accept-encoding', connection.coding.CODING)],
             )
             if status != 200:
                 return
--- a/ebonypick/process/tests/test_malformed_messages.py
+++ b/ebonypick/process/tests/test_malformed_messages.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies
 import pytest
 
+from ebonypick import connection
 from ebonypick import endpoints
 from ebonypick import errors
 from ebonypick.process import _crash_reports
@@ -78,9 +79,10 @@
 class _Req:
     """A request of another host with a given body."""
 
-    def __init__(self, method, path, data, query):
+    def __init__(self, method, path, data, query, headers):
         self.method, self.path, self.query = method, path, query
         self.client = '127.0.0.1'
+        self.headers = headers
         self._parts = [data, None]
         self.status = 0
 
@@ -105,8 +107,9 @@
         strategies.sampled_from(['table', 'after']),
         strategies.one_of(strategies.text(max_size=5), strategies.just('t')),
     ),
+    strategies.sampled_from(['plain', 'compressed', 'said to be compressed']),
 )
-def test_a_peer_message_is_applied_or_rejected(place, data, query):
+def test_a_peer_message_is_applied_or_rejected(place, data, query, form):
     rows = []
     follower = _table_follower.TableFollower(
         None, 't', rows.append, lambda: ()
@@ -117,7 +120,12 @@
             broadcaster=_broadcaster(follower), followers={'t': follower}
         ),
     )
-    req = _Req(*place, data, query)
+    headers = {}
+    if form != 'plain':
+        headers = {'content-encoding': 'deflate', 'accept-encoding': 'deflate'}
+    if form == 'compressed':
+        data = connection.coding.compress(data)
+    req = _Req(*place, data, query, headers)
     try:
         asyncio.run(_steering_control.Control(node).serve_peer(req))
     except errors.RequestError as exc:
--- a/ebonypick/process/tests/test_table_follower.py
+++ b/ebonypick/process/tests/test_table_follower.py
@@ -177,7 +177,7 @@
     def __init__(self, rows):
         self._rows = rows
 
-    async def call_json(self, method, path, transfer_s):
+    async def call_json(self, method, path, transfer_s, headers):
         """Answer with the rows."""
         message = _row_messages.PeerRows(
             TABLE,
