Let hosts with wide links read the store (CONFIG)

Cause: the readers of a region were drawn among all of its hosts, whatever their links.

Now readers are drawn among the hosts whose links look-ups use, if there are two of them and the region has more hosts than read anyway.

--- a/ebonypick/process/_roster.py
+++ b/ebonypick/process/_roster.py
@@ -59,6 +59,10 @@
     return tuple(found)
 
 
+def _count(hosts):
+    return sum(len(names) for names in hosts.values())
+
+
 class Roster:
     """The steering hosts and their roles, as one host sees them.
 
@@ -124,26 +128,33 @@
     def listed_count(self):
         """Return the number of hosts in the store's list, lost ones too."""
         listed = self._node.connections.centres()
-        return sum(len(names) for names in listed.values())
+        return _count(listed)
 
-    def _centres_of_region(self):
+    def _in_region(self, hosts):
+        """Return those of the data centres that are in this region."""
         regions = self._node.settings.data_centres
         return {
             centre: names
-            for centre, names in self.live().items()
+            for centre, names in hosts.items()
             if regions.get(centre) == self._node.settings.region
         }
 
     def of_region(self):
         """Return the live hosts of this host's region."""
-        centres = self._centres_of_region()
+        centres = self._in_region(self.live())
         return [name for names in centres.values() for name in names]
 
     def reads_store(self):
-        """Return whether this host reads the store for its region."""
-        readers = store_readers(
-            self._node.settings.region, self._centres_of_region()
-        )
+        """Return whether this host reads the store for its region.
+
+        Hosts whose links carry little of the region's traffic read it only if
+        there are too few others: a version may be as long as many requests.
+        """
+        hosts = self._in_region(self.live())
+        wide = self._in_region(self._with_capacity(self.live()))
+        if _count(hosts) > MAX_ALL_READERS and _count(wide) >= READERS:
+            hosts = wide
+        readers = store_readers(self._node.settings.region, hosts)
         return (
             self._node.leaving
             or self._node.settings.host in readers
--- a/ebonypick/process/tests/test_narrow_links.py
+++ b/ebonypick/process/tests/test_narrow_links.py
@@ -130,6 +130,7 @@
     """Guards against large rows of the store on narrow links."""
     readers = {name for name in ALL if _node(name).roster.reads_store()}
     assert readers & {*HOSTS['a1'], *HOSTS['a2']} == {'a1-wide', 'a2-wide'}
+    assert readers >= set(HOSTS['b1'])
 
 
 @pytest.mark.parametrize('lost', [{'a1-wide'}, {'a1-wide', 'a2-wide'}])
