--- a/ebonypick/platform/__init__.py
+++ b/ebonypick/platform/__init__.py
@@ -15,7 +15,6 @@
 from ebonypick.platform._lookup import answer_lookup
 from ebonypick.platform._lookup import is_lookup
 from ebonypick.platform._lookup import is_readiness
-from ebonypick.platform._lookup import lookup_host
 from ebonypick.platform._lookup import lookup_place
 from ebonypick.platform._revision import NO_REVISION
 from ebonypick.platform._revision import Revision
@@ -48,7 +47,6 @@
     'forward_head',
     'is_lookup',
     'is_readiness',
-    'lookup_host',
     'lookup_place',
     'own_answer_headers',
     'relay_head',
--- a/ebonypick/platform/_lookup.py
+++ b/ebonypick/platform/_lookup.py
@@ -28,11 +28,6 @@
     return query.get('region', ''), query.get('zone', '')
 
 
-def lookup_host(req):
-    """Return the host of the routes that the caller wants; empty if none."""
-    return req.query.get('name', '')
-
-
 def answer_lookup(addresses, ttl_s):
     """Return the JSON body of an answer to a look-up.
 
--- a/ebonypick/process/_roster.py
+++ b/ebonypick/process/_roster.py
@@ -112,42 +112,18 @@
         """
         return self._with_capacity(self.reaching() or self.live())
 
-    def for_callers(self, region, may_leave):
-        """Return the hosts that look-ups from a region return.
-
-        Parameters
-        ==========
-        region : str
-            The region of the callers.
-        may_leave : callable
-            Returns whether their requests may go to hosts of another region
-            while theirs has hosts.
-        """
-        return request.hosts_for_callers(
-            self._capacities(self.reaching() or self.live()),
-            self._capacities(self._node.connections.centres()),
-            self._node.settings.data_centres,
-            region,
-            may_leave,
-        )
-
     def relaying(self):
         """Return the hosts that may take requests of others."""
         return self._with_capacity(self.reaching())
 
     def _with_capacity(self, live):
         """Return those hosts whose links carry enough for their region."""
-        return request.serving_hosts(
-            self._capacities(live), self._node.settings.data_centres
-        )
-
-    def _capacities(self, hosts):
-        """Return the capacities of hosts by data centre and name."""
         rows = self._node.connections.rows
-        return {
+        hosts = {
             centre: {n: rows[n].capacity for n in names if n in rows}
-            for centre, names in hosts.items()
+            for centre, names in live.items()
         }
+        return request.serving_hosts(hosts, self._node.settings.data_centres)
 
     def listed_count(self):
         """Return the number of hosts in the store's list, lost ones too."""
--- a/ebonypick/process/_steering_control.py
+++ b/ebonypick/process/_steering_control.py
@@ -42,7 +42,7 @@
             await req.respond(404, [])
             return
         region, centre = platform.lookup_place(req)
-        addresses = self._addresses_for(platform.lookup_host(req), region)
+        addresses = self._addresses_for(region, centre)
         self._node.metrics.lookups.inc()
         events.LOOKUP.log(client=centre, region=region, hosts=addresses)
         if not addresses:
@@ -52,17 +52,21 @@
         body = platform.answer_lookup(addresses, min(ttl_s, LOOKUP_TTL_S))
         await req.respond(200, JSON, body)
 
-    def _addresses_for(self, host, region):
-        """Return the endpoints for a region's callers of a host's routes.
+    def _addresses_for(self, region, centre):
+        """Return the endpoints for callers of a region.
 
-        Without any other host, it is this one.
+        These are the hosts of the region, or those of other regions if it
+        has none, or else this host.
         """
-        cfg = self._node.board.version
-        names = self._node.roster.for_callers(
-            region, lambda other: cfg is not None and cfg.allows(host, other)
-        )
-        rows = self._node.connections.rows
-        found = [rows[name].callers for name in names]
+        near = []
+        far = []
+        for name, names in self._node.roster.serving().items():
+            found = [self._node.connections.rows[n].callers for n in names]
+            if self._node.settings.data_centres.get(name) == region:
+                near += found
+            else:
+                far += found
+        found = near or far
         if not found and self._node.ready:
             found = [self._node.settings.callers]
         return found[:MAX_LOOKUP_HOSTS]
--- a/ebonypick/request/__init__.py
+++ b/ebonypick/request/__init__.py
@@ -58,7 +58,6 @@
 from ebonypick.request._server import LoadReport
 from ebonypick.request._server import ServerEntry
 from ebonypick.request._server_limits import ServerLimit
-from ebonypick.request._serving import hosts_for_callers
 from ebonypick.request._serving import serving_hosts
 from ebonypick.request._verdict import judge
 from ebonypick.request._verdict import NOT_RUN_STATUSES
@@ -118,7 +117,6 @@
     'choose_relay_host',
     'expected_s',
     'fingerprint',
-    'hosts_for_callers',
     'judge',
     'look_up',
     'make_policy',
--- a/ebonypick/version/_traffic.py
+++ b/ebonypick/version/_traffic.py
@@ -121,10 +121,6 @@
     idle_s: float = 15.0
 
 
-def _host_name(host):
-    return host.lower().partition(':')[0]
-
-
 @dataclasses.dataclass(frozen=True)
 class TrafficConfig:
     """A version of the traffic configuration.
@@ -168,16 +164,6 @@
             found.setdefault(route.host, {})[route.prefix] = route
         return found
 
-    @functools.cached_property
-    def _homes(self):
-        """The regions that all routes of a host with homes allow, by host."""
-        found = {}
-        for route in self.routes:
-            if route.regions:
-                regions = found.get(route.host, route.regions)
-                found[route.host] = regions & route.regions
-        return found
-
     @functools.cached_property
     def _by_service(self):
         return {terms.name: terms for terms in self.services}
@@ -186,19 +172,6 @@
         """Return the settings of a service, with defaults if it is unknown."""
         return self._by_service.get(name) or ServiceTerms(name)
 
-    def allows(self, host, region):
-        """Return whether all routes of a host may be served in a region.
-
-        Parameters
-        ==========
-        host : str
-            The value of the Host header, with or without a port.
-        region : str
-            The region.
-        """
-        homes = self._homes.get(_host_name(host))
-        return homes is None or region in homes
-
     def find(self, host, path):
         """Return the route with the longest matching prefix, or None.
 
@@ -209,7 +182,8 @@
         path : str
             The path without the query string.
         """
-        prefixes = self._by_host.get(_host_name(host))
+        name = host.lower().partition(':')[0]
+        prefixes = self._by_host.get(name)
         if prefixes is None:
             return None
         end = path.rfind('/')
