--- a/bin/play_mixed.py
+++ b/bin/play_mixed.py
@@ -31,6 +31,7 @@
 LOOK_UP_INTERVAL_S = 0.2
 DRAIN_S = 2.5
 EVACUATION_S = 5.0
+MORE_ROUTES = 1_400
 ENTRY_TESTS = (
     'tests/test_requests.py',
     'tests/test_configuration.py',
@@ -118,6 +119,18 @@
     await world.until_answered(session, 'next', 200)
 
 
+async def _check_large_version(world, session):
+    """A version that hosts of this build compress is in force at all."""
+    cfg = steering_world.make_config_with(25, 'last')
+    paths = cfg['hosts'][0]['paths']
+    paths += [
+        {**paths[0], 'name': f'more-{n}', 'prefix': f'/more-{n}/'}
+        for n in range(MORE_ROUTES)
+    ]
+    world.store.put('op', 'config', cfg)
+    await world.until_answered(session, 'last', 200)
+
+
 async def _check_stops(world):
     """A host of each build stops as planned, and starts again."""
     other = sorted(world.from_other)[0]
@@ -192,6 +205,7 @@
                 'op', 'config', steering_world.make_config_with(20, 'new')
             )
             await world.until_answered(session, 'new', 200)
+            await _check_large_version(world, session)
             server = world.of('registry')[0]
             server.draining = True
             world.register(server)
--- a/ebonypick/process/tests/test_repeats.py
+++ b/ebonypick/process/tests/test_repeats.py
@@ -143,6 +143,10 @@
         """Let all further requests want a repeat."""
         self.wanting = True
 
+    def rest(self):
+        """Let no further request want a repeat."""
+        self.wanting = False
+
     def kill(self, hosts=None):
         """Restart hosts, by default all of them."""
         for host in self.hosts if hosts is None else hosts:
@@ -196,7 +200,7 @@
 
 def test_hosts_killed_amid_trouble_do_not_spend_two_windows(fleet):
     """Guards against a window's repeats before a kill and once more after."""
-    fleet.wanting = False
+    fleet.rest()
     fleet.play([(19.0, fleet.want), (20.0, fleet.kill)])
     assert fleet.excess() <= 0
 
@@ -207,6 +211,13 @@
     assert fleet.excess() <= 0
 
 
+def test_hosts_cut_off_in_calm_keep_their_part_of_the_slack(fleet):
+    """Guards against a host that saves up the slack of all in a cut."""
+    fleet.rest()
+    fleet.play([(5.0, fleet.cut), (25.0, fleet.want)])
+    assert fleet.excess() <= 0
+
+
 def test_changed_settings_give_no_further_repeats(fleet):
     """Guards against limits that a reload of the settings resets."""
     fleet.play([(at, fleet.reload) for at in (18.0, 20.0, 22.0, 24.0)])
@@ -216,7 +227,9 @@
 _CHANGES = strategies.lists(
     strategies.tuples(
         strategies.floats(5.0, 35.0),
-        strategies.sampled_from(['kill', 'cut', 'heal', 'reload', 'move']),
+        strategies.sampled_from(
+            ['kill', 'cut', 'heal', 'reload', 'move', 'rest', 'want']
+        ),
         strategies.integers(0, 6),
         strategies.integers(1, 7),
     ),
