Keep the model's clock in one place in the test of repeats

The test of the common bound had a class for a number, a field that nothing read and a loop over one module. No check changes; all cases pass.

--- a/ebonypick/process/tests/test_repeats.py
+++ b/ebonypick/process/tests/test_repeats.py
@@ -5,7 +5,6 @@
 """
 
 import bisect
-import dataclasses
 import functools
 import random
 import types
@@ -28,18 +27,10 @@
 JOB = types.SimpleNamespace(service='s', head=types.SimpleNamespace(req='r'))
 
 
-@dataclasses.dataclass
-class Clock:
-    """The monotonic clock of all hosts."""
-
-    now: float = 0.0
-
-
 class Host:
     """An entry host that lists all hosts and hears some of them."""
 
-    def __init__(self, clock, names, slack):
-        self._clock = clock
+    def __init__(self, names, slack):
         self._names = names
         self._slack = slack
         self.heard = names
@@ -83,20 +74,16 @@
     """Hosts whose requests all want a repeat."""
 
     def __init__(self, monkeypatch, hosts, rate, seed):
-        self.clock = Clock()
-        for module in (_roster,):
-            monkeypatch.setattr(
-                module.time, 'monotonic', lambda: self.clock.now
-            )
+        # The monotonic time of all hosts.
+        self.now = 0.0
+        monkeypatch.setattr(_roster.time, 'monotonic', lambda: self.now)
         monkeypatch.setattr(
             _repeats.events,
             'REPEAT_DECIDED',
             types.SimpleNamespace(log=lambda **fields: None),
         )
         self.names = tuple(f'h{n}' for n in range(hosts))
-        self.hosts = [
-            Host(self.clock, self.names, SLACKS[hosts]) for _ in self.names
-        ]
+        self.hosts = [Host(self.names, SLACKS[hosts]) for _ in self.names]
         self._rng = random.Random(seed)
         self._rate = rate
         self._slack = SLACKS[hosts]
@@ -111,9 +98,9 @@
         """Serve requests; apply changes, pairs of a time and a function."""
         changes = sorted(changes, key=lambda change: change[0])
         owed = 0.0
-        while self.clock.now < LENGTH_S:
-            self.clock.now += STEP_S
-            while changes and changes[0][0] <= self.clock.now:
+        while self.now < LENGTH_S:
+            self.now += STEP_S
+            while changes and changes[0][0] <= self.now:
                 changes.pop(0)[1]()
             owed += self._rate * STEP_S
             while owed >= 1.0:
@@ -121,9 +108,9 @@
                 self._serve(self._rng.choice(self.used))
 
     def _serve(self, host):
-        self.requests.append(self.clock.now)
+        self.requests.append(self.now)
         if host.serve(self.wanting):
-            self.repeats.append(self.clock.now)
+            self.repeats.append(self.now)
 
     def excess(self):
         """Return the most repeats beyond what a window allows."""
