Read the live hosts once, and name the fields of a test in our own words

Found in reading the whole change: reads_store worked out the live hosts twice, though followers ask it each 0.25 s, and the large version of test_row_broadcast had field names that belong in the platform's folder. Behaviour and checks are unchanged; the tests of rosters, narrow links and broadcasts pass, and the cut of compressed rows still fails without its mechanism.

--- a/ebonypick/process/_roster.py
+++ b/ebonypick/process/_roster.py
@@ -150,8 +150,9 @@
         Hosts whose links carry little of the region's traffic read it only if
         there are too few others: a version may be as long as many requests.
         """
-        hosts = self._in_region(self.live())
-        wide = self._in_region(self._with_capacity(self.live()))
+        live = self.live()
+        hosts = self._in_region(live)
+        wide = self._in_region(self._with_capacity(live))
         if _count(hosts) > MAX_ALL_READERS and _count(wide) >= READERS:
             hosts = wide
         readers = store_readers(self._node.settings.region, hosts)
--- a/ebonypick/process/tests/test_row_broadcast.py
+++ b/ebonypick/process/tests/test_row_broadcast.py
@@ -41,12 +41,12 @@
             'prefix': f'/{rng.randbytes(4).hex()}/',
             'kind': 'safe',
             'timeout': '2000ms',
-            'targetLatency': '685ms',
+            'objective': '685ms',
             'priority': 2,
             'service': 'registry',
-            'maxAttempts': 2,
-            'sessionAffinity': True,
-            'allowedRegions': [],
+            'attempts': 2,
+            'sticky': True,
+            'regions': [],
         }
         for _ in range(1_400)
     ]
