--- /dev/null
+++ b/review/rig2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and clients of the second review."""
