--- a/review/rig2/world.py
+++ b/review/rig2/world.py
@@ -66,6 +66,7 @@
         self._count = 0
         # How often an upstream crashed.
         self.crash_count = 0
+        self.crashed_at = []
 
     def note(self, text):
         """Write a line to the record."""
@@ -134,6 +135,7 @@
 
     def _note_crash(self, server):
         self.crash_count += 1
+        self.crashed_at.append(time.monotonic())
 
     def _register(self, server):
         self.store.put('servers', server.name, server.entry())
