--- a/ebonypick/process/_settings.py
+++ b/ebonypick/process/_settings.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ebonypick import errors
+from ebonypick.process import _machine
 from ebonypick import version
 
 
@@ -42,6 +43,10 @@
         Maximum number of requests in flight.
     adapters : dict of str to str
         Adapter by interface, for interfaces that do not use ``http``.
+    memory_mb : float
+        Memory that the process may use, in MB.
+    max_fds : int
+        Number of file descriptors that the process may have open.
     """
 
     host: str
@@ -56,6 +61,8 @@
         1_000
     )
     adapters: dict[str, str] = dataclasses.field(default_factory=dict)
+    memory_mb: _machine.Amount = _machine.DEFAULT_MEMORY_MB
+    max_fds: _machine.Count = _machine.DEFAULT_FDS
 
     def adapter(self, interface):
         """Return the name of the adapter for an interface."""
--- a/ebonypick/process/_steering_settings.py
+++ b/ebonypick/process/_steering_settings.py
@@ -7,6 +7,7 @@
 
 from ebonypick import endpoints
 from ebonypick import errors
+from ebonypick.process import _machine
 from ebonypick import version
 
 Span = typing.Annotated[str, msgspec.Meta(pattern=r'^\d+(\.\d+)?(ms|s)$')]
@@ -78,6 +79,10 @@
         The terms agreed with the users.
     metrics_port : int
         Port of the metrics.
+    memory_mb : float
+        Memory that the process may use, in MB.
+    max_fds : int
+        Number of file descriptors that the process may have open.
     """
 
     host: str
@@ -95,6 +100,8 @@
     link_mbps: Positive = 1000.0
     terms: Terms = Terms()
     metrics_port: version.Port = METRICS_PORT
+    memory_mb: _machine.Amount = _machine.DEFAULT_MEMORY_MB
+    max_fds: _machine.Count = _machine.DEFAULT_FDS
 
     @property
     def relays(self):
--- a/tests/steering_world.py
+++ b/tests/steering_world.py
@@ -102,9 +102,11 @@
         Number of steering hosts in each data centre.
     servers : int
         Number of backend servers of each service in each data centre.
+    settings : dict, optional
+        Further settings of every host.
     """
 
-    def __init__(self, folder, seed, hosts=1, servers=2):
+    def __init__(self, folder, seed, hosts=1, servers=2, settings=None):
         self.folder = folder
         self.rng = random.Random(seed)
         self.store = store.Store()
@@ -117,6 +119,7 @@
         self.network = f'127.{60 + next(_networks)}.{os.getpid() % 250}'
         self._host_count = hosts
         self._server_count = servers
+        self._more_settings = settings or {}
         self._numbers = itertools.count(1)
         self._stack = contextlib.AsyncExitStack()
 
@@ -225,6 +228,7 @@
             'data_centres': REGIONS,
             'store': f'127.0.0.1:{self.store.port}',
             'terms': {'repeat_ratio': 0.2, 'repeat_slack': 56},
+            **self._more_settings,
         }
 
     async def start_host(self, name, centre):
