Hold the heads of requests in little more than their bytes

What callers saw: a process ended, as it ran out of memory; clients had sent requests of legal size made of very many short or odd header lines.

Cause: each line was held as two byte strings in a tuple, until the next head of the connection, and as two strings in a dictionary for as long as the request lived: about 300 bytes for a line of 4. A line without a value counted with 1 byte against the limit of the head, so 16,384 lines passed. Entry hosts kept one more list of pairs for the time of the request.

Change: a head is collected in one buffer. Trailer fields, which nothing uses, are not kept.

Why it works: what is held for a line is what was sent for it.

--- a/ebonypick/connection/_caller_request.py
+++ b/ebonypick/connection/_caller_request.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import functools
 import http
 import time
 import urllib.parse
@@ -30,11 +31,11 @@
         The connection on which the request was received.
     method, target : str
         Method and target as received.
-    headers : multidict.CIMultiDict
+    fields : HeaderFields
         Header fields of the request.
     """
 
-    def __init__(self, stream, method, target, headers):
+    def __init__(self, stream, method, target, fields):
         self._stream = stream
         self._body = collections.deque()
         self._body_size = 0
@@ -45,7 +46,7 @@
         self._is_chunked = False
         self.method = method
         self.target = target
-        self.headers = headers
+        self._fields = fields
         self.client = stream.client
         # Monotonic time at which the head was received.
         self.received_at = time.monotonic()
@@ -57,6 +58,11 @@
         # Size of the held answer in bytes.
         self.held_size = 0
 
+    @property
+    def headers(self):
+        """The header fields, as ``multidict.CIMultiDict``."""
+        return self._fields.by_name()
+
     @property
     def path(self):
         """The path of the target, without the query."""
@@ -69,13 +75,18 @@
         args = urllib.parse.parse_qs(text, keep_blank_values=True)
         return {name: values[0] for name, values in args.items()}
 
-    @property
+    @functools.cached_property
     def content_length(self):
         """The body length that the head announces, or None."""
         # The parser rejects a length that is not a number.
         value = self.headers.get('content-length')
         return int(value) if value is not None else None
 
+    @functools.cached_property
+    def _awaits_continue(self):
+        """Whether the caller waits for an interim answer."""
+        return self.headers.get('expect', '').lower() == '100-continue'
+
     # Receiving of the body.
 
     @property
@@ -123,7 +134,7 @@
     async def _wait_for_body(self, timeout_s):
         try:
             async with asyncio.timeout(timeout_s):
-                if self.headers.get('expect', '').lower() == '100-continue':
+                if self._awaits_continue:
                     await self.turn()
                     self._stream.write(b'HTTP/1.1 100 Continue\r\n\r\n')
                 while not self._body and not self.body_ended:
--- a/ebonypick/connection/_caller_stream.py
+++ b/ebonypick/connection/_caller_stream.py
@@ -11,12 +11,11 @@
 import time
 
 import httptools
-import multidict
 
 from ebonypick.connection import _answer_order
 from ebonypick.connection import _caller_request
 from ebonypick.connection import _head_limit
-from ebonypick.connection import _headers
+from ebonypick.connection import _header_fields
 from ebonypick import errors
 
 METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
@@ -56,7 +55,7 @@
         # The request whose body is being received.
         self._receiving = None
         self._url = b''
-        self._header_fields = []
+        self._fields = _header_fields.FieldBuffer()
         self._in_head = False
         self._stopped_accepting = False
         self._closing = False
@@ -130,7 +129,7 @@
     def on_message_begin(self):
         """Start the head of a request."""
         self._url = b''
-        self._header_fields = []
+        self._fields.clear()
         if not self._in_head:
             self._phase_started_at = time.monotonic()
         self._in_head = True
@@ -142,9 +141,10 @@
         self._url += data
 
     def on_header(self, name, value):
-        """Store a header field, or a trailer field of a chunked body."""
-        self._limit.add_element(len(name) + len(value))
-        self._header_fields.append((name, value))
+        """Store a header field; trailer fields are not used."""
+        self._limit.add_field(name, value)
+        if self._in_head:
+            self._fields.add(name, value)
 
     def on_headers_complete(self):
         """Queue a request, and run it if the concurrency limit allows."""
@@ -157,11 +157,9 @@
             self,
             method,
             self._url.decode('ascii'),
-            multidict.CIMultiDict(
-                (_headers.decode(name), _headers.decode(value))
-                for name, value in self._header_fields
-            ),
+            self._fields.fields(),
         )
+        self._fields.clear()
         self.supports_chunked = self._parser.get_http_version() == '1.1'
         self.has_received_request = True
         self._order.add(req)
@@ -200,6 +198,7 @@
             return
         self._stopped_accepting = True
         self._in_head = False
+        self._fields.clear()
         req, self._receiving = self._receiving, None
         if req is not None:
             req.end_body(
@@ -209,7 +208,7 @@
             )
             return
         req = _caller_request.CallerRequest(
-            self, '', '', multidict.CIMultiDict()
+            self, '', '', _header_fields.HeaderFields()
         )
         req.end_body()
         self._order.add(req)
--- a/ebonypick/connection/_exchange.py
+++ b/ebonypick/connection/_exchange.py
@@ -194,7 +194,7 @@
 
     def on_header(self, name, value):
         """Store a header field, or a trailer field of a chunked body."""
-        self._limit.add_element(len(name) + len(value))
+        self._limit.add_field(name, value)
         self._header_fields.append(
             (_headers.decode(name), _headers.decode(value).strip())
         )
--- a/ebonypick/connection/_head_limit.py
+++ b/ebonypick/connection/_head_limit.py
@@ -7,6 +7,9 @@
 
 from ebonypick import errors
 
+# The colon and the line end of a header field.
+FIELD_MARKS_BYTES = 3
+
 
 class HeadLimit:
     """Counts the bytes of a head and the bytes of its incomplete element.
@@ -57,6 +60,16 @@
         self._size += size
         self._check(self._size)
 
+    def add_field(self, name, value):
+        """Count a header field with the bytes that separate it from others.
+
+        Raises
+        ======
+        errors.HeadTooLargeError
+            If the head exceeds the limit.
+        """
+        self.add_element(len(name) + len(value) + FIELD_MARKS_BYTES)
+
     def reset_incomplete(self):
         """Reset the incomplete size after an element outside a head."""
         self._incomplete_size = 0
--- a/ebonypick/process/_checked_request.py
+++ b/ebonypick/process/_checked_request.py
@@ -22,8 +22,8 @@
     ==========
     info : RequestInfo
         The properties of the request that routing needs.
-    headers : list of (str, str)
-        The end-to-end headers of the request.
+    req : connection.CallerRequest
+        The request as received.
     avoid : frozenset of str
         Backend servers that earlier attempts used.
     home_region : str
@@ -33,11 +33,16 @@
     """
 
     info: request.RequestInfo
-    headers: list
+    req: object
     avoid: frozenset = frozenset()
     home_region: str = ''
     planned: bool = False
 
+    @property
+    def headers(self):
+        """The end-to-end headers of the request, made for each use."""
+        return connection.headers.end_to_end(self.req.headers.items())
+
 
 def parse_deadline_ms(text, default_ms):
     """Return a deadline in milliseconds.
@@ -156,5 +161,4 @@
         forwarded,
         home_region != region,
     )
-    rows = connection.headers.end_to_end(headers.items())
-    return CheckedRequest(info, rows, avoid, home_region, planned)
+    return CheckedRequest(info, req, avoid, home_region, planned)
