Parse few requests ahead, and start none while answers are unread

What callers saw: memory that ran out under bursts of small requests, and under requests for metrics whose answers were not read.

Cause: the parser took whatever one read had delivered, 256 KiB at most, which is 14,000 requests of 18 bytes with some 2 KiB each; reading paused only after that. All of them then ran and wrote their answers, although their caller read none: the flow control held back bytes on the wire, not parsed requests.

Change: the parser gets 2 KiB at a time (a body of known length at once) and stops while more than 32 requests wait; the rest waits as bytes. No request is started while the connection is not writable.

Ruled out: an exception in a parser callback to stop it (the parser cannot go on after one).

--- a/ebonypick/connection/_caller_stream.py
+++ b/ebonypick/connection/_caller_stream.py
@@ -22,6 +22,12 @@
 # Number of requests of a connection that run concurrently. At most 640 KiB of
 # an answer are held for each, so that a connection holds at most 5 MiB.
 MAX_CONCURRENT_REQUESTS = 8
+# Requests of a connection that are parsed ahead, running ones included. What a
+# caller sends behind them waits as bytes.
+MAX_PARSED_REQUESTS = 32
+# The parser is given this many bytes at a time, as it cannot stop before their
+# end: 2 KiB are at most 114 requests.
+PARSE_BYTES = 2_048
 # Reading of requests pauses when answers that wait for earlier ones exceed
 # this size.
 MAX_HELD_ANSWER_BYTES = 1 << 20
@@ -54,6 +60,10 @@
         self._order = _answer_order.AnswerOrder()
         # The request whose body is being received.
         self._receiving = None
+        # Received bytes that have not been parsed yet.
+        self._unparsed = b''
+        # Whether the rest of what the caller sends cannot be parsed.
+        self._unparseable = False
         self._url = b''
         self._fields = _header_fields.FieldBuffer()
         self._in_head = False
@@ -79,26 +89,60 @@
         self._schedule_limit_check()
 
     def data_received(self, data):
-        """Parse bytes; reject malformed ones after all earlier requests."""
+        """Parse bytes, as far as few enough requests are waiting."""
         if self._closing:
             return
+        self._unparsed += data
+        self._parse()
+
+    def _parse(self):
+        """Parse what is unparsed; reject malformed bytes after all requests.
+
+        Load: callers that send thousands of tiny requests at once. Each takes
+        a hundred times its bytes once it is parsed.
+        """
+        data = memoryview(self._unparsed)
+        self._unparsed = b''
+        while data and not self._stops_parsing():
+            size = self._part_bytes()
+            self._parse_part(data, size)
+            data = data[size:]
+        if not self._unparseable:
+            # A view would keep all of the received bytes in memory.
+            self._unparsed = bytes(data)
+        if self._in_head:
+            self._schedule_limit_check()
+        self.adjust_reading()
+
+    def _stops_parsing(self):
+        if self._closing or self._unparseable:
+            return True
+        return len(self._order) > MAX_PARSED_REQUESTS
+
+    def _part_bytes(self):
+        """Return how many bytes are parsed next.
+
+        A body of known length is parsed at once, up to its end.
+        """
+        left = self._receiving.left_bytes if self._receiving else None
+        return max(left or 0, PARSE_BYTES)
+
+    def _parse_part(self, data, size):
         self._limit.max_bytes = self._server.header_bytes
-        self._limit.feed(len(data))
+        self._limit.feed(min(size, len(data)))
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(data[:size])
             self._limit.check()
+            return
         except httptools.HttpParserUpgrade:
             # The request is served, but the protocol upgrade is declined.
             self.stop_accepting()
         except httptools.HttpParserError as exc:
-            self._reject(
-                _request_error(exc, b'' if self.has_received_request else data)
-            )
+            first = b'' if self.has_received_request else bytes(data)
+            self._reject(_request_error(exc, first))
         except errors.HeadTooLargeError as exc:
             self._reject(exc)
-        if self._in_head:
-            self._schedule_limit_check()
-        self.adjust_reading()
+        self._unparseable = True
 
     def eof_received(self):
         """Let the transport close the connection."""
@@ -108,6 +152,7 @@
         """Cancel all requests of the connection."""
         self._server.connections.discard(self)
         self._closing = True
+        self._unparsed = b''
         self._stopped_accepting = True
         if self._timer is not None:
             self._timer.cancel()
@@ -122,7 +167,7 @@
     def resume_writing(self):
         """Resume reading and let ``wait_until_writable`` return."""
         self._writable.set()
-        self.adjust_reading()
+        self._continue()
 
     # Parser callbacks.
 
@@ -216,7 +261,15 @@
 
     # Scheduling of requests and flow control.
 
+    def _continue(self):
+        """Parse and start further requests, as far as the limits allow."""
+        self._parse()
+        self._start_next()
+
     def _start_next(self):
+        """Start requests, unless the caller does not read the answers."""
+        if not self._writable.is_set():
+            return
         for req in self._order.first(MAX_CONCURRENT_REQUESTS):
             if req.task is None:
                 req.task = asyncio.ensure_future(self._server.serve(req))
@@ -272,13 +325,12 @@
             self.adjust_reading()
             return
         self._order.send_ready()
-        self._start_next()
+        self._continue()
         if not self._order:
             self._phase_started_at = time.monotonic()
             self._end_if_complete()
             if self._receiving is not None:
                 self._schedule_limit_check()
-        self.adjust_reading()
 
     def write(self, data):
         """Write bytes of the answer that is being sent."""
--- a/ebonypick/connection/tests/test_pipelining.py
+++ b/ebonypick/connection/tests/test_pipelining.py
@@ -317,3 +317,37 @@
 
     assert asyncio.run(ask('/silent')) == b''
     assert asyncio.run(ask('/cancelled')) == b''
+
+
+def test_all_requests_of_a_burst_are_answered_in_order():
+    """More requests than are parsed ahead arrive in one part, the last cut."""
+    paths = [f'/{n}' for n in range(3 * _caller_stream.MAX_PARSED_REQUESTS)]
+    last = request('/last', 'POST', b'y' * 5_000)
+
+    async def scenario():
+        async with serving() as (_, _, reader, writer):
+            writer.write(b''.join(map(request, paths)) + last[:3_000])
+            bodies = [(await read_answer(reader))[1] for _ in paths]
+            writer.write(last[3_000:])
+            return bodies + [(await read_answer(reader))[1]]
+
+    found = asyncio.run(scenario())
+    assert found == [path.encode() for path in paths] + [b'/last']
+
+
+def test_requests_wait_while_the_caller_does_not_read_its_answers():
+    """Few answers are made for a caller that leaves them unread."""
+    # 300 kB each, far more than the sockets hold.
+    paths = [f'/big/{n}' for n in range(100)]
+
+    async def scenario():
+        async with serving() as (handler, _, reader, writer):
+            writer.write(b''.join(map(request, paths)))
+            await asyncio.sleep(WORK_S)
+            started = len(handler.started)
+            for _ in paths:
+                await read_answer(reader)
+            return started, len(handler.started)
+
+    started, in_the_end = asyncio.run(scenario())
+    assert started < in_the_end == len(paths)
