Bound what the clients of a listener hold together

What callers saw: processes out of memory (uploads that stop: 185 MB of 120) or out of descriptors (425 of 300, idle connections on any port); at an entry host 150 slow uploads kept all others out (503 for 30 s).

Cause: each connection was bounded, and nothing bounded their sum; no setting said what the machine has.

Change: connection/_client_budget.py counts the bytes and the connections of each listener against shares of memory_mb and max_fds (the platform's template gives both). Above 75% of its memory, connections that wait for their client are shed, the most memory for the longest time first: bodies that nothing was passed on of and requests that were not started get 503 (not run, Retry-After, Connection: close); unread answers end with their connection. Requests at servers are never shed; while they hold all of it, new ones get 503 at once. Where connections are used up, a new one takes the place of the one that was idle longest, then of one that waits for its client.

Ruled out: shedding the largest first (an upload in progress would go before a crowd of small heads); a limit for each address (clients share addresses).

Open: all new requests are refused while requests at servers hold all of the memory; those end with their route's timeout.

--- a/ebonypick/connection/__init__.py
+++ b/ebonypick/connection/__init__.py
@@ -15,6 +15,7 @@
 from ebonypick.connection._caller_http import make_caller_server
 from ebonypick.connection._caller_http import problem
 from ebonypick.connection._caller_request import CallerRequest
+from ebonypick.connection._client_budget import Capacity
 from ebonypick.connection import _coding as coding
 from ebonypick.connection._exchange import Answer
 from ebonypick.connection import _headers as headers
@@ -40,6 +41,7 @@
     'Answer',
     'BadAnswerError',
     'CallerRequest',
+    'Capacity',
     'Condition',
     'ConnectFailedError',
     'AnswerMismatchError',
--- a/ebonypick/connection/_answer_order.py
+++ b/ebonypick/connection/_answer_order.py
@@ -68,6 +68,31 @@
         if fut is not None and not fut.done():
             fut.set_result(None)
 
+    @property
+    def waiting(self):
+        """Whether a request has not been started."""
+        return bool(self._queue) and self._queue[-1].task is None
+
+    def any_served(self):
+        """Return whether a request is served that needs no more bytes."""
+        return any(
+            req.task is not None
+            and not req.answered
+            and (req.body_ended or not req.body_refusable)
+            for req in self._queue
+        )
+
+    def drop_waiting(self):
+        """Remove and return the requests that have not been started."""
+        dropped = []
+        while self.waiting:
+            dropped.append(self._queue.pop())
+        return dropped
+
+    def request_bytes(self):
+        """Return the memory of all requests, without their answers."""
+        return sum(req.size for req in self._queue)
+
     def cancel(self):
         """Remove all requests and cancel their tasks."""
         for req in self._queue:
--- a/ebonypick/connection/_caller_http.py
+++ b/ebonypick/connection/_caller_http.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import socket
+import time
 
 from ebonypick.connection import _adapters
 from ebonypick.connection import _caller_stream
+from ebonypick.connection import _client_budget
 from ebonypick.connection import _headers
 from ebonypick import errors
 from ebonypick import events
@@ -76,9 +78,13 @@
         TCP port to listen on; 0 selects a free port.
     handler : coroutine function
         Called with each CallerRequest; has to answer it.
+    capacity : Capacity, optional
+        What all connections may occupy together.
     """
 
-    def __init__(self, address, port, handler):
+    def __init__(
+        self, address, port, handler, capacity=_client_budget.Capacity()
+    ):
         self._address = address
         self._port = port
         self._handler = handler
@@ -87,6 +93,7 @@
         # The port that is in use once the server listens.
         self.port = port
         self.connections = set()
+        self._budget = _client_budget.ClientBudget(capacity)
         self.header_bytes = HEAD_LIMIT_BYTES
         self.header_s = REQUEST_HEAD_TIMEOUT_S
         self.idle_s = IDLE_TIMEOUT_S
@@ -118,9 +125,72 @@
 
     # Methods that connections call.
 
+    def admit(self, conn):
+        """Register a connection; return whether there is room for it.
+
+        A connection that has been idle, or has waited for its client, may be
+        closed in its favour.
+        """
+        if self._budget.crowded:
+            other = self._budget.to_close()
+            events.CLIENTS_SHED.log(
+                port=self.port,
+                connections=len(self._budget),
+                used_bytes=self._budget.used_bytes,
+                closed=int(other is not None),
+                why='connections',
+            )
+            if other is None:
+                return False
+            self._budget.remove(other)
+            other.make_room()
+        self.connections.add(conn)
+        return True
+
+    def forget(self, conn):
+        """Remove a connection that is closed."""
+        self.connections.discard(conn)
+        self._budget.remove(conn)
+
+    def note_held(self, conn, size, idle):
+        """Note the memory of a connection; shed some if all hold too much.
+
+        Parameters
+        ==========
+        conn : CallerStream
+            The connection.
+        size : int
+            Memory in bytes.
+        idle : bool
+            Whether it has no request.
+        """
+        if conn not in self.connections:
+            return
+        self._budget.update(conn, size, idle)
+        chosen = self._budget.to_shed(time.monotonic())
+        if not chosen:
+            return
+        events.CLIENTS_SHED.log(
+            port=self.port,
+            connections=len(self._budget),
+            used_bytes=self._budget.used_bytes,
+            closed=len(chosen),
+            why='memory',
+        )
+        for other in chosen:
+            self._budget.remove(other)
+            other.shed()
+
+    @property
+    def overloaded(self):
+        """Whether the connections occupy all memory that they may."""
+        return self._budget.full
+
     async def serve(self, req):
         """Run the handler; answer the request with an error if it fails."""
         try:
+            if req.refusal is not None:
+                raise req.refusal
             if req.method not in _caller_stream.METHODS:
                 raise errors.MethodNotAllowedError(
                     method=req.method, known=', '.join(_caller_stream.METHODS)
@@ -242,6 +312,9 @@
             return found
 
 
-def make_caller_server(kind, address, port, handler):
+def make_caller_server(
+    kind, address, port, handler, capacity=_client_budget.Capacity()
+):
     """Create the server for callers with the adapter ``kind``."""
-    return _adapters.caller_adapters.get(kind)(address, port, handler)
+    make = _adapters.caller_adapters.get(kind)
+    return make(address, port, handler, capacity)
--- a/ebonypick/connection/_caller_request.py
+++ b/ebonypick/connection/_caller_request.py
@@ -12,6 +12,8 @@
 # Reading from the connection pauses when more than this many body bytes are
 # buffered, which leaves the rest with the sender.
 BODY_BUFFER_BYTES = 262_144
+# Memory of a request that is served, with its task and without its bytes.
+REQUEST_BYTES = 4_096
 # Status codes whose answers never have a body (RFC 9110, section 6.4.1).
 _BODYLESS = frozenset({204, 304})
 
@@ -47,6 +49,7 @@
         self.method = method
         self.target = target
         self._fields = fields
+        self._fields_bytes = fields.size
         self.client = stream.client
         # Monotonic time at which the head was received.
         self.received_at = time.monotonic()
@@ -55,9 +58,47 @@
         self.answered = False
         self.body_ended = False
         self.unread_body_bytes = 0
+        # The error that a request gets in place of being served.
+        self.refusal = None
+        # Whether the body may still be refused: no part of it was passed on.
+        self.body_refusable = True
+        self._retained_bytes = 0
         # Size of the held answer in bytes.
         self.held_size = 0
 
+    @property
+    def size(self):
+        """Memory of the request in bytes, without its answer."""
+        return (
+            REQUEST_BYTES
+            + len(self.target)
+            + self._fields_bytes
+            + len(self._body)
+            + self._retained_bytes
+        )
+
+    def retain(self, size):
+        """Count bytes that the handler keeps until the answer.
+
+        Parameters
+        ==========
+        size : int
+            Memory in bytes, in place of what was counted before.
+        """
+        self._retained_bytes = size
+        self._stream.buffers_changed()
+
+    def retain_fields(self, copies):
+        """Count header fields that the handler keeps as strings.
+
+        Parameters
+        ==========
+        copies : int
+            How often it keeps them.
+        """
+        self._fields_bytes = copies * self._fields.unpacked_size
+        self._stream.buffers_changed()
+
     @property
     def headers(self):
         """The header fields, as ``multidict.CIMultiDict``."""
@@ -116,6 +157,11 @@
         self._body_error = exc
         self._body_changed.set()
 
+    def refuse_body(self, exc):
+        """Discard the body; the handler gets an error when it reads on."""
+        self._body.take()
+        self.end_body(exc)
+
     async def read(self, timeout_s):
         """Return the next bytes of the body, or None at its end.
 
@@ -130,10 +176,11 @@
             await self._wait_for_body(timeout_s)
         if self._body:
             data = self._body.take()
-            self._stream.adjust_reading()
+            self._stream.buffers_changed()
             return data
         if self._body_error is not None:
-            raise self._body_error
+            # A copy: the frames of a traceback would hold the body in a cycle.
+            raise type(self._body_error)(**self._body_error.fields)
         return None
 
     async def _wait_for_body(self, timeout_s):
--- a/ebonypick/connection/_caller_stream.py
+++ b/ebonypick/connection/_caller_stream.py
@@ -14,6 +14,7 @@
 
 from ebonypick.connection import _answer_order
 from ebonypick.connection import _caller_request
+from ebonypick.connection import _client_budget
 from ebonypick.connection import _head_limit
 from ebonypick.connection import _header_fields
 from ebonypick import errors
@@ -28,6 +29,10 @@
 # The parser is given this many bytes at a time, as it cannot stop before their
 # end: 2 KiB are at most 114 requests.
 PARSE_BYTES = 2_048
+# Memory of a connection without a request.
+CONNECTION_BYTES = 8_192
+# The kernel keeps about this much of a client that is not read.
+PAUSED_BYTES = 65_536
 # Reading of requests pauses when answers that wait for earlier ones exceed
 # this size.
 MAX_HELD_ANSWER_BYTES = 1 << 20
@@ -73,6 +78,9 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._phase_started_at = time.monotonic()
+        # Time of the last step that the client completed: a request, or the
+        # reading of its answers.
+        self._step_at = self._phase_started_at
         self._timer = None
         self.client = ''
         # Whether the caller supports chunked transfer coding.
@@ -85,13 +93,18 @@
         """Register the connection and store the caller's address."""
         self._transport = transport
         self.client = (transport.get_extra_info('peername') or ('',))[0]
-        self._server.connections.add(self)
+        if not self._server.admit(self):
+            self.make_room()
+            return
         self._schedule_limit_check()
+        self.buffers_changed()
 
     def data_received(self, data):
         """Parse bytes, as far as few enough requests are waiting."""
         if self._closing:
             return
+        if self.idle:
+            self._step_at = time.monotonic()
         self._unparsed += data
         self._parse()
 
@@ -112,7 +125,7 @@
             self._unparsed = bytes(data)
         if self._in_head:
             self._schedule_limit_check()
-        self.adjust_reading()
+        self.buffers_changed()
 
     def _stops_parsing(self):
         if self._closing or self._unparseable:
@@ -150,7 +163,7 @@
 
     def connection_lost(self, exc):
         """Cancel all requests of the connection."""
-        self._server.connections.discard(self)
+        self._server.forget(self)
         self._closing = True
         self._unparsed = b''
         self._stopped_accepting = True
@@ -162,11 +175,12 @@
     def pause_writing(self):
         """Pause reading from a caller that does not read its answers."""
         self._writable.clear()
-        self.adjust_reading()
+        self.buffers_changed()
 
     def resume_writing(self):
         """Resume reading and let ``wait_until_writable`` return."""
         self._writable.set()
+        self._step_at = time.monotonic()
         self._continue()
 
     # Parser callbacks.
@@ -209,6 +223,9 @@
         self.has_received_request = True
         self._order.add(req)
         self._receiving = req
+        if self._server.overloaded:
+            req.refusal = errors.OverloadedError()
+            self._stopped_accepting = True
         if not (self.supports_chunked and self._parser.should_keep_alive()):
             # For an HTTP/1.0 caller, the end of the connection may be the
             # only sign of the end of a body, so no answer can follow it.
@@ -274,10 +291,25 @@
             if req.task is None:
                 req.task = asyncio.ensure_future(self._server.serve(req))
 
-    def adjust_reading(self):
-        """Pause or resume reading according to the buffered data."""
+    def buffers_changed(self):
+        """Pause or resume reading, and report what the connection holds."""
         if self._transport is None or self._transport.is_closing():
             return
+        self._adjust_reading()
+        self._server.note_held(self, self._held_bytes(), self.idle)
+
+    def _held_bytes(self):
+        return (
+            CONNECTION_BYTES
+            + (PAUSED_BYTES if self._paused else 0)
+            + len(self._unparsed)
+            + len(self._fields)
+            + self._order.request_bytes()
+            + self._order.held_bytes
+            + self._transport.get_write_buffer_size()
+        )
+
+    def _adjust_reading(self):
         full = self._receiving is not None and (
             self._receiving.body_buffer_full
             or self._receiving.unread_body_bytes > MAX_UNREAD_BODY_BYTES
@@ -304,6 +336,53 @@
         """Return whether the connection closes after a request's answer."""
         return self._stopped_accepting and self._order.is_last(req)
 
+    # Release of memory and descriptors for others.
+
+    def holding(self):
+        """Return what the connection holds, and whether it can be shed."""
+        receiving = self._receiving
+        waits_for_client = (
+            self._in_head
+            or not self._writable.is_set()
+            or self._order.waiting
+            or (receiving is not None and receiving.body_refusable)
+        )
+        return _client_budget.Holding(
+            self._held_bytes(),
+            self._step_at,
+            waits_for_client,
+            waits_for_client and not self._order.any_served(),
+        )
+
+    def shed(self):
+        """Refuse what has not been passed on, and then close.
+
+        A client that does not read its answers would not read a refusal.
+        """
+        if self._closing or not self._writable.is_set():
+            self.abort()
+            return
+        exc = errors.OverloadedError()
+        self._unparsed = b''
+        self._unparseable = True
+        dropped = self._order.drop_waiting()
+        req = self._receiving
+        if req is not None and (req in dropped or req.body_refusable):
+            self._receiving = None
+            req.refuse_body(exc)
+        if dropped or self._in_head:
+            self._reject(exc)
+        self._stopped_accepting = True
+        self._end_if_complete()
+
+    def make_room(self):
+        """Close the connection at once, in favour of another one."""
+        self._closing = True
+        if self.idle:
+            self._transport.close()
+        else:
+            self._transport.abort()
+
     # Sending of answers in the order of the requests.
 
     async def turn(self, req):
@@ -322,9 +401,10 @@
         """
         if not self._order.is_first(req):
             self._order.hold(req, size)
-            self.adjust_reading()
+            self.buffers_changed()
             return
         self._order.send_ready()
+        self._step_at = time.monotonic()
         self._continue()
         if not self._order:
             self._phase_started_at = time.monotonic()
--- a/ebonypick/connection/_header_fields.py
+++ b/ebonypick/connection/_header_fields.py
@@ -72,10 +72,11 @@
         self._by_name = None
         if count <= MAX_UNPACKED_FIELDS:
             self._by_name = _unpack(data)
-        # Size in memory, in bytes: strings take about this much each.
+        # Size in memory, in bytes, and that of the fields as strings.
+        self.unpacked_size = len(data) + count * UNPACKED_FIELD_BYTES
         self.size = len(data)
         if self._by_name is not None:
-            self.size += count * UNPACKED_FIELD_BYTES
+            self.size = self.unpacked_size
 
     def by_name(self):
         """Return the fields as ``multidict.CIMultiDict``.
--- a/ebonypick/errors.py
+++ b/ebonypick/errors.py
@@ -219,6 +219,19 @@
     remedy = 'Ask another entry host.'
 
 
+class OverloadedError(ServingError):
+    """The clients of this host occupy all memory that they may use."""
+
+    code = 'EP2109'
+    message = 'The clients of this entry host hold too much of its memory.'
+    remedy = (
+        'Ask another entry host, or send it again after {retry_after_s} s.'
+    )
+
+    def __init__(self, **fields):
+        super().__init__(**{'retry_after_s': self.retry_after_s, **fields})
+
+
 class StoreUnavailableError(ServingError):
     """The platform's table could not record the request's key."""
 
--- a/ebonypick/events.py
+++ b/ebonypick/events.py
@@ -168,6 +168,16 @@
     'took_ms',
     'config',
 )
+CLIENTS_SHED = define(
+    'EP1216',
+    'Connections were closed, or their requests refused, as the clients of a '
+    'port hold too much.',
+    'port',
+    'connections',
+    'used_bytes',
+    'closed',
+    'why',
+)
 REPEAT_DECIDED = define(
     'EP1215',
     'The limit on repeated attempts allowed a repeat of a request or '
--- a/ebonypick/process/_body.py
+++ b/ebonypick/process/_body.py
@@ -69,8 +69,10 @@
                 state = _State.BUFFERED
                 break
             start.append(part)
+            self._req.retain(len(start))
         self._start = start.take()
         self._state = state
+        self._req.body_refusable = False
 
     async def _read(self):
         """Return the next part of the body, or None at its end."""
@@ -161,6 +163,7 @@
     body = part_buffer.PartBuffer()
     while (part := await req.read(timeout_s)) is not None:
         body.append(part)
+        req.retain(len(body))
         if len(body) > limit:
             raise errors.BodyTooLargeError(
                 found=len(body), service='messages', limit=limit
--- a/ebonypick/process/_entry_host.py
+++ b/ebonypick/process/_entry_host.py
@@ -21,6 +21,7 @@
 from ebonypick.process import _host_connections
 from ebonypick.process import _layouts
 from ebonypick.process import _links
+from ebonypick.process import _machine
 from ebonypick.process import _membership
 from ebonypick.process import _metrics
 from ebonypick.process import _relay
@@ -35,6 +36,9 @@
 # its first request: twice the connect timeout of the caller library.
 FIRST_REQUEST_GRACE_S = 2.0
 STOP_POLL_S = 0.05
+# What clients may occupy. The rest of the memory is for the process itself
+# and for answers of servers, that of the descriptors for its own connections.
+CLIENTS = _machine.Share(memory=0.3, connections=0.6)
 
 
 class EntryHost:
@@ -109,6 +113,7 @@
                     self.settings.address,
                     self.settings.port,
                     self._handle,
+                    _machine.capacity(self.settings, CLIENTS),
                 )
             )
             self._start_tasks()
--- a/ebonypick/process/_machine.py
+++ b/ebonypick/process/_machine.py
@@ -1,11 +1,60 @@
 """The memory and the descriptors of the machine of a host."""
 
+import dataclasses
+import resource
 import typing
 
 import msgspec
 
+from ebonypick import connection
+
 Amount = typing.Annotated[float, msgspec.Meta(gt=0)]
 Count = typing.Annotated[int, msgspec.Meta(ge=1)]
 # The smallest machine that runs a host.
 DEFAULT_MEMORY_MB = 300
 DEFAULT_FDS = 4_100
+# Descriptors of files, which the limit of the machine includes.
+FILE_FDS = 200
+MIN_SOCKETS = 64
+BYTES_PER_MB = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Share:
+    """The share of a machine that the clients of a listener may occupy.
+
+    Parameters
+    ==========
+    memory : float
+        Share of the memory.
+    connections : float
+        Share of the descriptors that sockets may use.
+    """
+
+    memory: float
+    connections: float
+
+
+def capacity(settings, share):
+    """Return what the clients of a listener may occupy.
+
+    Parameters
+    ==========
+    settings : SteeringSettings or Settings
+        The settings of the host.
+    share : Share
+        The share of the listener.
+
+    Returns
+    =======
+    connection.Capacity
+    """
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    fds = settings.max_fds
+    if allowed != resource.RLIM_INFINITY:
+        fds = min(fds, allowed)
+    sockets = max(MIN_SOCKETS, fds - FILE_FDS)
+    return connection.Capacity(
+        round(settings.memory_mb * BYTES_PER_MB * share.memory),
+        max(1, round(sockets * share.connections)),
+    )
--- a/ebonypick/process/_relay.py
+++ b/ebonypick/process/_relay.py
@@ -14,6 +14,8 @@
 
 MAX_ATTEMPTS = 4
 ANSWER_STALL_S = 5.0
+# The request's own header fields, and those of the client library's request.
+FIELD_COPIES = 2
 # If a hedge is answered while the first attempt has waited longer than this,
 # the connections to the first attempt's server are assumed to be silent.
 SILENT_CONNECTION_S = 0.2
@@ -76,6 +78,7 @@
             raise errors.NotReadyError(
                 reason='it may stop before the request ends'
             )
+        self._req.retain_fields(FIELD_COPIES)
         self._body = _body.RequestBody(
             self._req, self._service.body_limit_bytes, name
         )
--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -15,6 +15,7 @@
 from ebonypick.process import _forward
 from ebonypick.process import _gossip
 from ebonypick.process import _gossip_messages
+from ebonypick.process import _machine
 from ebonypick.process import _membership
 from ebonypick.process import _metrics
 from ebonypick.process import _peer_directory
@@ -45,6 +46,14 @@
 # Longer than hosts keep idle connections to each other, so that no request is
 # sent while its connection is being closed.
 RELAY_IDLE_S = 30.0
+# What the clients of each listener may occupy. The rest of the memory is for
+# the process itself and for answers of servers, that of the descriptors for
+# connections to servers, hosts and the store.
+CALLERS = _machine.Share(memory=0.2, connections=0.4)
+RELAYED = _machine.Share(memory=0.06, connections=0.125)
+LOOKUPS = _machine.Share(memory=0.04, connections=0.125)
+PEERS = _machine.Share(memory=0.06, connections=0.0625)
+PROBES = _machine.Share(memory=0.03, connections=0.03)
 # Look-ups name no host for longer than this and ``contact`` after it is lost.
 LOST_HOST_S = 3.0
 # Time for the way of its last sign and until a look-up is answered.
@@ -150,26 +159,31 @@
     async def _listen(self, stack):
         address = self.settings.address
         listeners = (
-            (self._control.serve_lookup, self.settings.lookups),
-            (self._control.serve_readiness, self.settings.readiness),
+            (self._control.serve_lookup, self.settings.lookups, LOOKUPS),
+            (self._control.serve_readiness, self.settings.readiness, PROBES),
             (
                 self._control.serve_peer,
                 f'{address}:{self.settings.peer_ports[0]}',
+                PEERS,
             ),
             (
                 self._control.serve_metrics,
                 f'{address}:{self.settings.metrics_port}',
+                PROBES,
             ),
-            (self._handle_relayed, self.settings.relays),
-            (self._handle, self.settings.callers),
+            (self._handle_relayed, self.settings.relays, RELAYED),
+            (self._handle, self.settings.callers, CALLERS),
         )
         servers = [
             await stack.enter_async_context(
                 connection.make_caller_server(
-                    'http', *endpoints.parse_endpoint(endpoint), handler
+                    'http',
+                    *endpoints.parse_endpoint(endpoint),
+                    handler,
+                    _machine.capacity(self.settings, share),
                 )
             )
-            for handler, endpoint in listeners
+            for handler, endpoint, share in listeners
         ]
         self._relayed, self._callers = servers[-2:]
 
--- a/tests/test_unruly_clients.py
+++ b/tests/test_unruly_clients.py
@@ -22,6 +22,7 @@
 # The machine of the hosts in these tests.
 MEMORY_MB = 120
 MAX_FDS = 300
+MANY_FDS = 4_100
 SETTINGS = {'memory_mb': MEMORY_MB, 'max_fds': MAX_FDS}
 # Ports by what they serve.
 PORTS = {
@@ -99,6 +100,28 @@
     tmp_path, port, kind
 ):
     """Guards against hosts that end or refuse everyone under such clients."""
+    _check_crowd(tmp_path, port, kind, MAX_FDS)
+
+
+@pytest.mark.parametrize(
+    'kind',
+    (
+        'heads of short lines',
+        'heads without end',
+        'uploads without end',
+        'bodies in small chunks',
+    ),
+)
+def test_a_crowd_fits_into_the_memory_where_descriptors_abound(tmp_path, kind):
+    """The bound on the connections does not stand in for that on the memory.
+
+    All connections of the crowd are admitted.
+    """
+    _check_crowd(tmp_path, 'callers', kind, MANY_FDS)
+
+
+def _check_crowd(tmp_path, port, kind, max_fds):
+    """Check a crowd at a host whose machine has so many descriptors."""
 
     async def play(world, session):
         for server in world.of('registry'):
@@ -115,14 +138,14 @@
         return process.returncode, peak_kb, fds, during, after
 
     code, peak_kb, fds, during, after = steering_world.run_scene(
-        tmp_path, SEED, play, settings=SETTINGS
+        tmp_path, SEED, play, settings={**SETTINGS, 'max_fds': max_fds}
     )
     print(
         f'{port}, {kind}: {peak_kb} kB, {fds} descriptors, {during}, {after}'
     )
     assert code is None
     assert peak_kb < MEMORY_MB * 1000
-    assert fds < MAX_FDS
+    assert fds < max_fds
     assert (during, after) == ((200, 200), (200, 200))
 
 
