Keep short what a host remembers of the names that callers choose

What callers saw: memory that ran out under requests that each named another object (Affinity-Key) with a value as long as a head.

Cause: up to 20,000 rankings of servers are cached by the name of the object, and 24 names for each server, all as sent: 320 MB of names of 16 KB. Each connection to a server kept its last 16 request ids in the same way.

Change: a name of more than 64 characters is replaced by its digest where it is decoded, the same on all hosts, so that the object keeps its servers; a connection keeps the hashes of the ids.

--- a/ebonypick/connection/_exchange.py
+++ b/ebonypick/connection/_exchange.py
@@ -301,13 +301,19 @@
         )
 
     def has_carried(self, req):
-        """Return whether a recent request had an id; false for None."""
-        return req is not None and req in self._carried
+        """Return whether a recent request had an id; false for None.
+
+        A false positive, which is very rare, costs another connection.
+        """
+        return req is not None and hash(req) in self._carried
 
     def carry(self, req):
-        """Remember the id of the request to send, unless it is None."""
+        """Remember the id of the request to send, unless it is None.
+
+        Callers choose ids as long as a head, so only their hash is kept.
+        """
         if req is not None:
-            self._carried.append(req)
+            self._carried.append(hash(req))
 
     def start(self, data, is_expected, head_only):
         """Send the first bytes of a request and start to await its answer.
--- a/ebonypick/platform/_headers.py
+++ b/ebonypick/platform/_headers.py
@@ -10,6 +10,7 @@
 _DEADLINE_MS = 'deadline-ms'
 _CALLER = 'authorization'
 _OBJECT_COOKIE = 'affinity-key'
+_MAX_OBJECT_KEY_CHARS = 64
 _EXPECTED_INSTANCE = 'expect-instance'
 _NOT_RUN = 'not-executed'
 _SEAL = 'server-seal'
@@ -41,11 +42,19 @@
 
 
 def _object_key(headers):
+    """Return the object key of a request, or None if it has none.
+
+    Hosts remember thousands of keys, so a long one is replaced by its digest.
+    """
     for cookies in headers.getall('cookie', ()):
         for cookie in cookies.split(';'):
             name, _, value = cookie.strip().partition('=')
             if name.lower() == _OBJECT_COOKIE:
-                return value
+                if len(value) <= _MAX_OBJECT_KEY_CHARS:
+                    return value
+                return request.fingerprint(
+                    value.encode(errors='surrogateescape')
+                )
     return None
 
 
--- a/ebonypick/platform/tests/test_decoding.py
+++ b/ebonypick/platform/tests/test_decoding.py
@@ -149,6 +149,19 @@
     assert found == request.CallerHead('9c41', 'a.example', 2.5, '17')
 
 
+def test_long_object_keys_are_short_and_differ():
+    """A host remembers thousands of keys, which callers choose."""
+    longs = ['k' * 15_000 + end for end in ('1', '2', '\udcff')]
+    keys = [
+        platform.caller_request(
+            _Req(('Cookie', f'Affinity-Key={long}'))
+        ).object_key
+        for long in longs * 2
+    ]
+    assert max(map(len, keys)) <= 64
+    assert len(set(keys)) == 3 and keys[:3] == keys[3:]
+
+
 def test_an_unreadable_deadline_is_ignored():
     found = platform.caller_request(_Req(('Deadline-Ms', '-4')))
     assert found == request.CallerHead(None, '', None, None)
