--- a/ebonypick/process/tests/test_malformed_messages.py
+++ b/ebonypick/process/tests/test_malformed_messages.py
@@ -89,6 +89,9 @@
     async def read(self, timeout_s):
         return self._parts.pop(0)
 
+    def retain(self, size):
+        """Ignore how much the handler keeps."""
+
     async def respond(self, status, headers, body=b''):
         self.status = status
 
