Close connections whose answers are never read

What callers saw: nothing at first; a client that reads none of its answers kept their memory and a descriptor until it left, however long that took.

Cause: an idle connection was half-closed after the idle time and then waited for its unsent bytes without a limit.

Change: a connection of which not one byte is taken for the idle time of the operator's limits is closed. A caller that reads slowly gets all of its answers (test_a_slow_reader_gets_all_of_its_answers).

test_a_connection_whose_answers_are_never_read_is_closed failed before: the connection was still there after 20 s with an idle time of 0.2 s.

--- a/ebonypick/connection/_caller_stream.py
+++ b/ebonypick/connection/_caller_stream.py
@@ -81,6 +81,11 @@
         # Time of the last step that the client completed: a request, or the
         # reading of its answers.
         self._step_at = self._phase_started_at
+        # Unsent bytes at the last check, its time, and for how long they have
+        # been as many.
+        self._unsent_bytes = 0
+        self._checked_at = self._phase_started_at
+        self._stalled_s = 0.0
         self._timer = None
         self.client = ''
         # Whether the caller supports chunked transfer coding.
@@ -489,8 +494,29 @@
             return UNREAD_BODY_TIMEOUT_S
         return self._server.idle_s
 
+    def _stalled(self):
+        """Return whether the caller reads none of its answers any more.
+
+        The operator's limit on idle connections applies to callers that take
+        nothing as to those that send nothing.
+        """
+        now = time.monotonic()
+        unsent = self._transport.get_write_buffer_size()
+        # A process that stood still does not blame its callers for that.
+        elapsed_s = min(now - self._checked_at, 2 * LIMIT_CHECK_PERIOD_S)
+        if unsent and unsent == self._unsent_bytes:
+            self._stalled_s += elapsed_s
+        else:
+            self._stalled_s = 0.0
+        self._checked_at = now
+        self._unsent_bytes = unsent
+        return self._stalled_s >= self._server.idle_s
+
     def _check_limits(self):
         """Close the connection if a time limit is exceeded."""
+        if self._stalled():
+            self.abort()
+            return
         late = (
             time.monotonic() - self._phase_started_at >= self._phase_limit_s()
         )
--- a/ebonypick/connection/tests/test_pipelining.py
+++ b/ebonypick/connection/tests/test_pipelining.py
@@ -351,3 +351,34 @@
 
     started, in_the_end = asyncio.run(scenario())
     assert started < in_the_end == len(paths)
+
+
+def test_a_connection_whose_answers_are_never_read_is_closed():
+    """It would hold its memory and its descriptor for ever."""
+
+    async def scenario():
+        async with serving() as (_, server, reader, writer):
+            server.set_limits(16_384, 1.0, idle_s=0.2)
+            writer.write(b''.join(request('/big') for _ in range(40)))
+            async with asyncio.timeout(20):
+                while server.connections:
+                    await asyncio.sleep(0.1)
+
+    asyncio.run(scenario())
+
+
+def test_a_slow_reader_gets_all_of_its_answers():
+    """Each step is shorter than the limit, their sum is not."""
+    paths = [f'/big/{n}' for n in range(30)]
+
+    async def scenario():
+        async with serving() as (_, server, reader, writer):
+            server.set_limits(16_384, 1.0, idle_s=2.0)
+            writer.write(b''.join(map(request, paths)))
+            bodies = []
+            for path in paths:
+                await asyncio.sleep(0.15)
+                bodies.append((await read_answer(reader))[1][: len(path)])
+            return bodies
+
+    assert asyncio.run(scenario()) == [path.encode() for path in paths]
