Apply a limit on descriptors that is lowered while the process runs

What callers saw: a host with a limit of 300 descriptors, set on the running process, answered neither requests nor look-ups while 400 clients were connected and sent nothing.

Cause: the limit was read when the listeners were opened, and before the budget not at all; the process ran out of descriptors for everyone.

Change: what a listener may occupy is worked out for each new connection from the settings and the process's limit.

test_a_limit_on_descriptors_that_was_lowered_is_kept failed on: no answer for 30 s, 300 descriptors open.

--- a/ebonypick/connection/_caller_http.py
+++ b/ebonypick/connection/_caller_http.py
@@ -78,12 +78,12 @@
         TCP port to listen on; 0 selects a free port.
     handler : coroutine function
         Called with each CallerRequest; has to answer it.
-    capacity : Capacity, optional
-        What all connections may occupy together.
+    capacity : callable, optional
+        Returns the ``Capacity`` that all connections have together now.
     """
 
     def __init__(
-        self, address, port, handler, capacity=_client_budget.Capacity()
+        self, address, port, handler, capacity=_client_budget.Capacity
     ):
         self._address = address
         self._port = port
@@ -93,7 +93,8 @@
         # The port that is in use once the server listens.
         self.port = port
         self.connections = set()
-        self._budget = _client_budget.ClientBudget(capacity)
+        self._capacity = capacity
+        self._budget = _client_budget.ClientBudget(capacity())
         self.header_bytes = HEAD_LIMIT_BYTES
         self.header_s = REQUEST_HEAD_TIMEOUT_S
         self.idle_s = IDLE_TIMEOUT_S
@@ -131,6 +132,7 @@
         A connection that has been idle, or has waited for its client, may be
         closed in its favour.
         """
+        self._budget.capacity = self._capacity()
         if self._budget.crowded:
             other = self._budget.to_close()
             events.CLIENTS_SHED.log(
@@ -313,7 +315,7 @@
 
 
 def make_caller_server(
-    kind, address, port, handler, capacity=_client_budget.Capacity()
+    kind, address, port, handler, capacity=_client_budget.Capacity
 ):
     """Create the server for callers with the adapter ``kind``."""
     make = _adapters.caller_adapters.get(kind)
--- a/ebonypick/connection/tests/test_client_budget.py
+++ b/ebonypick/connection/tests/test_client_budget.py
@@ -93,7 +93,9 @@
         await req.respond(200, [])
 
     make = connection.make_caller_server
-    async with make('http', '127.0.0.1', 0, handle, capacity) as server:
+    async with make(
+        'http', '127.0.0.1', 0, handle, lambda: capacity
+    ) as server:
         yield server, served
 
 
--- a/ebonypick/process/_entry_host.py
+++ b/ebonypick/process/_entry_host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import ipaddress
 import random
 import time
@@ -115,7 +116,9 @@
                     self.settings.address,
                     self.settings.port,
                     self._handle,
-                    _machine.capacity(self.settings, CLIENTS),
+                    functools.partial(
+                        _machine.capacity, self.settings, CLIENTS
+                    ),
                 )
             )
             self._start_tasks()
--- a/ebonypick/process/_machine.py
+++ b/ebonypick/process/_machine.py
@@ -36,7 +36,9 @@
 
 
 def capacity(settings, share):
-    """Return what the clients of a listener may occupy.
+    """Return what the clients of a listener may occupy now.
+
+    The limit on descriptors may be changed while the process runs.
 
     Parameters
     ==========
--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 import time
 import uuid
@@ -181,13 +182,16 @@
                     'http',
                     *endpoints.parse_endpoint(endpoint),
                     handler,
-                    _machine.capacity(self.settings, share),
+                    functools.partial(self._capacity, share),
                 )
             )
             for handler, endpoint, share in listeners
         ]
         self._relayed, self._callers = servers[-2:]
 
+    def _capacity(self, share):
+        return _machine.capacity(self.settings, share)
+
     def _start_tasks(self):
         keep = _tasks.keep_running
         for table, follower in self.store_view.followers.items():
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -41,12 +41,15 @@
         Whether the clients read what they are answered.
     drip : bytes
         What each connection sends again every DRIP_S after its data.
+    returns : bool
+        Whether clients whose connection is closed connect again at once.
     """
 
     data: typing.Callable
     connections: int
     reads: bool = False
     drip: bytes = b''
+    returns: bool = False
 
 
 def request(name, *lines, method='GET', kind='read'):
@@ -118,6 +121,35 @@
     return Crowd(lambda number: request(f'{number:06x}', *lines)[:-2], 250)
 
 
+@crowds.register('heads before a body that does not come')
+def heads_without_body():
+    """Return a crowd that announces bodies behind heads of short lines."""
+    lines = fill(b'%x:\r\n', HEAD_BYTES - 250)
+    lines.append(b'Content-Length: 1000\r\n')
+
+    def data(number):
+        name = f'{number:06x}'
+        return request(name, *lines, method='POST', kind='act')
+
+    return Crowd(data, 250)
+
+
+@crowds.register('heads of short lines that return')
+def returning():
+    """Return a crowd of complete heads that is not kept out by a close."""
+    lines = fill(b'%x:\r\n', HEAD_BYTES - 200)
+    lines.append(b'Connection: close\r\n')
+    return Crowd(
+        lambda number: request(f'{number:06x}', *lines), 100, True, b'', True
+    )
+
+
+@crowds.register('idle connections that return')
+def returning_idle():
+    """Return a crowd of connections that are opened again when closed."""
+    return Crowd(lambda number: b'', 400, True, b'', True)
+
+
 @crowds.register('bursts of small requests')
 def small_requests():
     """Return a crowd that sends thousands of requests at once."""
@@ -222,6 +254,7 @@
         self._address = address
         self._socks = []
         self._tasks = []
+        self._closed = False
 
     async def __aenter__(self):
         senders = [
@@ -235,6 +268,7 @@
         return self
 
     async def __aexit__(self, *exc_info):
+        self._closed = True
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -253,7 +287,10 @@
         try:
             await loop.sock_connect(sock, self._address)
             if self._crowd.reads:
-                self._tasks.append(asyncio.ensure_future(_read_all(sock)))
+                reader = asyncio.ensure_future(_read_all(sock))
+                self._tasks.append(reader)
+                if self._crowd.returns:
+                    reader.add_done_callback(lambda _: self._return(number))
             await loop.sock_sendall(sock, self._crowd.data(number))
             if self._crowd.drip:
                 self._tasks.append(
@@ -263,6 +300,11 @@
             # The host may refuse or close the connections of a crowd.
             return
 
+    def _return(self, number):
+        """Connect again in place of a connection that was closed."""
+        if not self._closed:
+            self._tasks.append(asyncio.ensure_future(self._send(number)))
+
 
 async def _read_all(sock):
     """Read and discard bytes until the other side closes."""
@@ -273,6 +315,8 @@
     except OSError:
         # The host may reset the connections of a crowd.
         return
+    finally:
+        sock.close()
 
 
 async def _drip(sock, data):
--- a/tests/test_unruly_clients.py
+++ b/tests/test_unruly_clients.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import os
+import resource
 import time
 import urllib.error
 import urllib.request
@@ -44,6 +45,9 @@
     ('callers', 'heads of lines with one name'),
     ('callers', 'heads of odd lines'),
     ('callers', 'heads without end'),
+    ('callers', 'heads before a body that does not come'),
+    ('callers', 'heads of short lines that return'),
+    ('callers', 'idle connections that return'),
     ('callers', 'bursts of small requests'),
     ('callers', 'uploads without end'),
     ('callers', 'slow uploads'),
@@ -104,6 +108,31 @@
     _check_crowd(tmp_path, (port,), kind, MAX_FDS)
 
 
+def test_a_limit_on_descriptors_that_was_lowered_is_kept(tmp_path):
+    """Connections that send nothing leave descriptors for all else."""
+
+    async def play(world, session):
+        cfg = steering_world.make_config(2)
+        # The crowd is not closed for being idle.
+        cfg['limits']['idleTimeout'] = '600s'
+        world.store.put('op', 'config', cfg)
+        await asyncio.sleep(1.0)
+        process = world.processes[HOST]
+        resource.prlimit(
+            process.pid, resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS)
+        )
+        crowd = crowds.crowds.get('idle connections')()
+        address = world.address(HOST), PORTS['callers']
+        async with crowds.OpenCrowd(crowd, address):
+            found = await _ask(world, session), await _look_up(world)
+            return found, _open_fds(process)
+
+    found, fds = steering_world.run_scene(tmp_path, SEED, play)
+    assert found == (200, 200)
+    # Some are left for connections to servers, hosts and the store.
+    assert fds < MAX_FDS / 2
+
+
 @pytest.mark.parametrize(
     'kind',
     (
