Bound the memory of idempotency keys

Cause: keys were bounded by their age, not by their number or their answers.

Change: beyond a tenth of the machine's memory the keys of the oldest minutes are forgotten first; a request with one of them is answered as unknown and is never run, as after 30 minutes. If the keys of the current minute alone exceed it, new ones are refused as not run (503). The state machine of test_idempotency.py now also floods the ledger with other keys.

Both new tests fail without the bound: there was none to refuse or forget by.

--- a/ebonypick/process/_claims.py
+++ b/ebonypick/process/_claims.py
@@ -52,7 +52,8 @@
     Parameters
     ==========
     state : str
-        ``granted``, ``running``, ``finished``, ``forgotten`` or ``noted``.
+        ``granted``, ``running``, ``finished``, ``forgotten``, ``full`` or
+        ``noted``.
     record : Record or None
         The answer, if the state is ``finished``.
     reason : str
@@ -95,6 +96,8 @@
         return ClaimReply('running')
     if isinstance(found, request.Finished):
         return ClaimReply('finished', found.record)
+    if isinstance(found, request.NoRoom):
+        return ClaimReply('full')
     return ClaimReply('forgotten', reason=found.reason)
 
 
@@ -103,7 +106,8 @@
 
     Raises
     ======
-    errors.DuplicateRequestError, errors.KeyOutcomeUnknownError
+    errors.DuplicateRequestError, errors.KeyOutcomeUnknownError,
+    errors.OverloadedError
         If the request must not be run.
     """
     if reply.state == 'granted':
@@ -112,6 +116,8 @@
         return reply.record
     if reply.state == 'running':
         raise errors.DuplicateRequestError(key=key)
+    if reply.state == 'full':
+        raise errors.OverloadedError()
     raise errors.KeyOutcomeUnknownError(key=key, reason=reply.reason)
 
 
--- a/ebonypick/process/_entry_host.py
+++ b/ebonypick/process/_entry_host.py
@@ -40,6 +40,8 @@
 # What clients may occupy. The rest of the memory is for the process itself
 # and for answers of servers, that of the descriptors for its own connections.
 CLIENTS = _machine.Share(memory=0.2, connections=0.6)
+# Share of the memory for idempotency keys and the answers kept with them.
+LEDGER_SHARE = 0.1
 
 
 class EntryHost:
@@ -58,7 +60,10 @@
         self.metrics = _metrics.Metrics()
         self.crashes = _crash_reports.NoCrashReports()
         self.ledger = request.ClaimLedger(
-            settings.host, uuid.uuid4().hex[:10], time.monotonic()
+            settings.host,
+            uuid.uuid4().hex[:10],
+            time.monotonic(),
+            round(settings.memory_mb * _machine.BYTES_PER_MB * LEDGER_SHARE),
         )
         self.platform = connection.make_platform(
             settings.adapter('platform'),
--- a/ebonypick/request/__init__.py
+++ b/ebonypick/request/__init__.py
@@ -18,6 +18,7 @@
 from ebonypick.request._idempotency import Finished
 from ebonypick.request._idempotency import Forgotten
 from ebonypick.request._idempotency import Granted
+from ebonypick.request._idempotency import NoRoom
 from ebonypick.request._idempotency import parse_key
 from ebonypick.request._idempotency import Record
 from ebonypick.request._idempotency import Running
@@ -86,6 +87,7 @@
     'LoadReport',
     'MAX_CRASHES',
     'NOT_RUN_STATUSES',
+    'NoRoom',
     'NoSlot',
     'Offer',
     'Outcome',
--- a/ebonypick/request/tests/test_idempotency.py
+++ b/ebonypick/request/tests/test_idempotency.py
@@ -1,5 +1,7 @@
 """Tests that a request with a key runs at most once."""
 
+import tracemalloc
+
 import hypothesis
 from hypothesis import given
 from hypothesis import stateful
@@ -10,6 +12,8 @@
 
 HOLDERS = ('h1', 'h2', 'h3')
 KEYS = 3
+MACHINE_BYTES = 4 * _idempotency.KEY_BYTES
+MAX_BYTES = 4_000_000
 
 
 class OnceMachine(stateful.RuleBasedStateMachine):
@@ -19,6 +23,7 @@
         super().__init__()
         self.now = 0.0
         self.boots = 0
+        self.others = 0
         self.runs = {}
         self.granted = set()
         self.start_host()
@@ -27,12 +32,22 @@
 
     def start_host(self):
         self.boots += 1
-        self.ledger = request.ClaimLedger('e1', f'b{self.boots}', self.now)
+        # Other keys may leave room for one of these.
+        self.ledger = request.ClaimLedger(
+            'e1', f'b{self.boots}', self.now, MACHINE_BYTES
+        )
 
     @stateful.rule()
     def restart_host(self):
         self.start_host()
 
+    @stateful.rule(count=st.integers(1, 5))
+    def claim_other_keys(self, count):
+        for _ in range(count):
+            self.others += 1
+            key = f'{self.ledger.prefix(self.now)}o{self.others}'
+            self.ledger.claim(request.parse_key(key), 'other', self.now)
+
     @stateful.rule(gap_s=st.floats(0, 1200))
     def advance_time(self, gap_s):
         self.now += gap_s
@@ -102,3 +117,40 @@
     """The parser raises no exception for any key."""
     found = request.parse_key(text)
     assert found is None or found.text == text
+
+
+def _claim_and_finish(ledger, count, now, name='k'):
+    """Use so many keys for requests with small answers; return the last."""
+    prefix = ledger.prefix(now)
+    for number in range(count):
+        key = request.parse_key(f'{prefix}{name}{number:0100}')
+        if not isinstance(ledger.claim(key, 'h', now), request.Granted):
+            return key
+        body = f'{number:01000}'
+        record = request.Record(200, (('a', 'b'),) * 5, body)
+        ledger.finish(key, 'h', record)
+    return key
+
+
+def test_keys_of_many_minutes_take_bounded_memory():
+    tracemalloc.start()
+    try:
+        ledger = request.ClaimLedger('e1', 'b1', 0.0, MAX_BYTES)
+        first = _claim_and_finish(ledger, 1, 0.0, 'first')
+        for minute in range(20):
+            last = _claim_and_finish(ledger, 900, minute * 60.0)
+        held = tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+    assert held < 2 * MAX_BYTES
+    # The keys issued last are served; a key that was forgotten never runs.
+    assert isinstance(ledger.claim(last, 'x', 1140.0), request.Finished)
+    assert isinstance(ledger.claim(first, 'x', 1140.0), request.Forgotten)
+
+
+def test_no_key_of_this_minute_is_forgotten_for_another():
+    ledger = request.ClaimLedger('e1', 'b1', 0.0, MAX_BYTES)
+    first = _claim_and_finish(ledger, 1, 0.0, 'first')
+    refused = _claim_and_finish(ledger, 9_000, 0.0)
+    assert isinstance(ledger.claim(refused, 'x', 1.0), request.NoRoom)
+    assert isinstance(ledger.claim(first, 'x', 1.0), request.Finished)
