Take an answer whose status is none for a malformed one

What callers saw: from a steering host 504 at the end of their time, from an entry host the answer itself, where a server in trouble had answered with the status 000.

Cause: a status below 200 counted as an interim answer, and the client library of entry hosts passes on any three digits.

Change: a status outside 100 to 599 makes a bad answer at once; the outcome is unknown, 502.

--- a/ebonypick/connection/_exchange.py
+++ b/ebonypick/connection/_exchange.py
@@ -205,6 +205,10 @@
         status = self._parser.get_status_code()
         by_name = {name.lower(): value for name, value in self._header_fields}
         pending = self._pending
+        if status not in _pool.STATUSES:
+            self._fail(f'malformed answer: status {status:03}', malformed=True)
+            self.abort()
+            return
         if status < 200:
             self._discard()
             return
--- a/ebonypick/connection/_pool.py
+++ b/ebonypick/connection/_pool.py
@@ -17,6 +17,9 @@
 # the store's own encoding.
 MAX_MESSAGE_BYTES = 8 << 20
 
+# Status codes of answers (RFC 9110, section 15).
+STATUSES = range(100, 600)
+
 
 class ConnectFailedError(Exception):
     """The connection could not be opened, so nothing was sent."""
@@ -166,6 +169,8 @@
         except TimeoutError as exc:
             raise LostError('no answer in time') from exc
         try:
+            if resp.status not in STATUSES:
+                raise BadAnswerError(f'status {resp.status:03}')
             yield resp
         finally:
             # A response that was read to its end has already returned its
