Reset the connection of a caller whose unframed answer breaks off

Cause: the connection was closed, and its end is the end of such a body.

Change: where the answer in progress ends with its connection, an abort is a reset.

test_a_part_of_an_answer_does_not_end_like_a_whole_one failed before.

--- a/ebonypick/connection/_caller_request.py
+++ b/ebonypick/connection/_caller_request.py
@@ -46,6 +46,8 @@
         # Status, headers and body of an answer that is not sent yet.
         self._held_answer = None
         self._is_chunked = False
+        # Whether the end of the connection is the end of the answer's body.
+        self.ends_by_close = False
         self.method = method
         self.target = target
         self._fields = fields
@@ -244,6 +246,7 @@
             and self._stream.supports_chunked
             and status not in _BODYLESS
         )
+        self.ends_by_close = length is None and not self._is_chunked
         self._stream.write(self._head(status, headers, length))
 
     def _head(self, status, headers, length):
--- a/ebonypick/connection/_caller_stream.py
+++ b/ebonypick/connection/_caller_stream.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import re
+import socket
+import struct
 import time
 
 import httptools
@@ -43,6 +45,8 @@
 # Time between the half-close and the close of a connection. It lets the caller
 # read the last answer, which a reset would discard (RFC 9112, section 9.6).
 LINGER_S = 1.0
+# Value of SO_LINGER that makes a close a reset: on, 0 s.
+RESET_LINGER = struct.pack('ii', 1, 0)
 # Period at which the time limits of a connection with requests are checked.
 LIMIT_CHECK_PERIOD_S = 1.0
 _REQUEST_LINE = re.compile(rb'([A-Z]{1,20}) \S+ HTTP/1\.[01]\r?\n')
@@ -470,7 +474,14 @@
         self._schedule_limit_check()
 
     def abort(self):
-        """Close the connection at once."""
+        """Close the connection at once.
+
+        A body that ends with its connection would look complete, so a part of
+        one is followed by a reset.
+        """
+        if any(req.ends_by_close for req in self._order.first(1)):
+            sock = self._transport.get_extra_info('socket')
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
         self._transport.abort()
 
     def _schedule_limit_check(self):
--- a/ebonypick/connection/tests/test_broken_answers.py
+++ b/ebonypick/connection/tests/test_broken_answers.py
@@ -142,3 +142,29 @@
                     await upload(address, EARLY_BYTES)
 
     asyncio.run(scenario())
+
+
+def test_a_part_of_an_answer_does_not_end_like_a_whole_one():
+    """A caller of HTTP/1.0 sees only by a reset that an answer broke off."""
+
+    async def handle(req):
+        await req.start(200, [])
+        await req.write(b'part')
+        await asyncio.sleep(0.1)
+        req.abort()
+
+    async def scenario():
+        make = connection.make_caller_server
+        async with make('http', '127.0.0.1', 0, handle) as server:
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', server.port
+            )
+            writer.write(b'GET / HTTP/1.0\r\nHost: a\r\n\r\n')
+            try:
+                async with asyncio.timeout(TIMEOUT_S):
+                    with pytest.raises(ConnectionResetError):
+                        await reader.read()
+            finally:
+                writer.close()
+
+    asyncio.run(scenario())
