Read the body of a request that offers an upgrade

Cause: the parser ends a message at such a head and leaves what follows to another protocol; the stream declined the offer and took the parser's end of the message for the body's.

Change: behind such a head another parser, given the framing fields of the request, reads the body. The connection closes after the answer, as before.

--- a/ebonypick/connection/_caller_stream.py
+++ b/ebonypick/connection/_caller_stream.py
@@ -19,6 +19,7 @@
 from ebonypick.connection import _client_budget
 from ebonypick.connection import _head_limit
 from ebonypick.connection import _header_fields
+from ebonypick.connection import _server_pool
 from ebonypick import errors
 
 METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
@@ -45,6 +46,8 @@
 # Time between the half-close and the close of a connection. It lets the caller
 # read the last answer, which a reset would discard (RFC 9112, section 9.6).
 LINGER_S = 1.0
+# Header fields that tell where a body ends.
+FRAMING_FIELDS = ('content-length', 'transfer-encoding')
 # Value of SO_LINGER that makes a close a reset: on, 0 s.
 RESET_LINGER = struct.pack('ii', 1, 0)
 # Period at which the time limits of a connection with requests are checked.
@@ -73,6 +76,8 @@
         self._unparsed = b''
         # Whether the rest of what the caller sends cannot be parsed.
         self._unparseable = False
+        # Whether the parser is given the framing of a request once more.
+        self._is_copied_head = False
         self._url = b''
         self._fields = _header_fields.FieldBuffer()
         self._in_head = False
@@ -156,9 +161,11 @@
             self._parser.feed_data(data[:size])
             self._limit.check()
             return
-        except httptools.HttpParserUpgrade:
-            # The request is served, but the protocol upgrade is declined.
-            self.stop_accepting()
+        except httptools.HttpParserUpgrade as exc:
+            end = exc.args[0]
+            if self._decline_upgrade():
+                self._parse_part(data[end:], size - end)
+                return
         except httptools.HttpParserError as exc:
             first = b'' if self.has_received_request else bytes(data)
             self._reject(_request_error(exc, first))
@@ -166,6 +173,33 @@
             self._reject(exc)
         self._unparseable = True
 
+    def _decline_upgrade(self):
+        """Continue behind the head of a request that offers an upgrade.
+
+        The request is served by this protocol. The parser leaves what follows
+        such a head to another protocol, so another parser reads the body.
+
+        Returns
+        =======
+        bool
+            Whether there is a request whose body can be read.
+        """
+        req = self._receiving
+        self.stop_accepting()
+        if req is None:
+            return False
+        rows = [
+            (name, value)
+            for name, value in req.headers.items()
+            if name.lower() in FRAMING_FIELDS
+        ]
+        head = _server_pool.request_bytes('POST', '/', rows, None)
+        self._parser = httptools.HttpRequestParser(self)
+        self._is_copied_head = True
+        self._parser.feed_data(head)
+        self._is_copied_head = False
+        return True
+
     def eof_received(self):
         """Let the transport close the connection."""
         return False
@@ -196,6 +230,8 @@
 
     def on_message_begin(self):
         """Start the head of a request."""
+        if self._is_copied_head:
+            return
         self._url = b''
         self._fields.clear()
         if not self._in_head:
@@ -205,17 +241,23 @@
 
     def on_url(self, data):
         """Append a part of the request target."""
+        if self._is_copied_head:
+            return
         self._limit.add_element(len(data))
         self._url += data
 
     def on_header(self, name, value):
         """Store a header field; trailer fields are not used."""
+        if self._is_copied_head:
+            return
         self._limit.add_field(name, value)
         if self._in_head:
             self._fields.add(name, value)
 
     def on_headers_complete(self):
         """Queue a request, and run it if the concurrency limit allows."""
+        if self._is_copied_head:
+            return
         self._limit.reset_incomplete()
         self._in_head = False
         if self._stopped_accepting:
@@ -256,6 +298,9 @@
     def on_message_complete(self):
         """End the body of the request that is being received."""
         self._limit.reset_incomplete()
+        if self._parser.should_upgrade():
+            # The body follows: ``_decline_upgrade`` reads it.
+            return
         req, self._receiving = self._receiving, None
         if req is not None:
             req.end_body()
--- a/ebonypick/connection/tests/test_pipelining.py
+++ b/ebonypick/connection/tests/test_pipelining.py
@@ -382,3 +382,46 @@
             return bodies
 
     assert asyncio.run(scenario()) == [path.encode() for path in paths]
+
+
+OFFER = {'Connection': 'Upgrade, HTTP2-Settings', 'Upgrade': 'h2c'}
+CHUNKED_BODY = b'5\r\nfirst\r\n6\r\nsecond\r\n0\r\n\r\n'
+
+
+@pytest.mark.parametrize('pause_s', (0.0, 0.05))
+@pytest.mark.parametrize('form', ('chunks', 'length', 'none'))
+def test_a_request_that_offers_an_upgrade_keeps_its_body(form, pause_s):
+    """The offer is declined, and the request served as any other."""
+    offer = dict(OFFER)
+    body = {'chunks': CHUNKED_BODY, 'length': b'firstsecond', 'none': b''}[
+        form
+    ]
+    if form == 'chunks':
+        offer['Transfer-Encoding'] = 'chunked'
+    if form == 'length':
+        offer['Content-Length'] = len(body)
+    found = []
+
+    async def handle(req):
+        data = b''
+        while (part := await req.read(5)) is not None:
+            data += part
+        found.append((req.path, data))
+        await req.respond(200, [])
+
+    async def scenario():
+        make = connection.make_caller_server
+        async with make('http', '127.0.0.1', 0, handle) as server:
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', server.port
+            )
+            writer.write(request('/offer', 'POST', **offer) + body[:8])
+            await asyncio.sleep(pause_s)
+            writer.write(body[8:])
+            answer = await asyncio.wait_for(reader.read(), 5)
+            writer.close()
+            return answer
+
+    answer = asyncio.run(scenario())
+    assert answer.startswith(b'HTTP/1.1 200 ')
+    assert found == [('/offer', b'' if form == 'none' else b'firstsecond')]
