--- a/bin/prove_needed.py
+++ b/bin/prove_needed.py
@@ -40,9 +40,57 @@
     more: tuple = ()
 
 
+UNRULY = 'tests/test_unruly_clients.py'
 LOST_HOSTS = 'ebonypick/process/tests/test_lost_hosts.py'
 
 CUTS = (
+    Cut(
+        'clients fit into the machine',
+        'connections are shed for memory',
+        'ebonypick/connection/_client_budget.py',
+        'SHED_ABOVE = 0.75',
+        'SHED_ABOVE = 75.0',
+        (UNRULY, '-k', 'abound and uploads'),
+        (
+            (
+                'ebonypick/connection/_client_budget.py',
+                'return self.used_bytes >= self.capacity.memory_bytes',
+                'return False',
+            ),
+        ),
+    ),
+    Cut(
+        'clients fit into the machine',
+        'connections make room for new ones',
+        'ebonypick/connection/_client_budget.py',
+        'return len(self._sizes) >= self.capacity.connections',
+        'return False',
+        (UNRULY, '-k', 'callers-idle'),
+    ),
+    Cut(
+        'clients fit into the machine',
+        'few requests are parsed ahead',
+        'ebonypick/connection/_caller_stream.py',
+        'MAX_PARSED_REQUESTS = 32',
+        'MAX_PARSED_REQUESTS = 1_000_000',
+        (UNRULY, '-k', 'callers-bursts'),
+    ),
+    Cut(
+        'clients fit into the machine',
+        'heads are held as bytes',
+        'ebonypick/connection/_header_fields.py',
+        'MAX_UNPACKED_FIELDS = 64',
+        'MAX_UNPACKED_FIELDS = 64_000',
+        ('ebonypick/connection/tests/test_header_fields.py',),
+    ),
+    Cut(
+        'clients fit into the machine',
+        'long names of objects are digested',
+        'ebonypick/platform/_headers.py',
+        '_MAX_OBJECT_KEY_CHARS = 64',
+        '_MAX_OBJECT_KEY_CHARS = 64_000',
+        (UNRULY, '-k', 'callers-long and names'),
+    ),
     Cut(
         'callers of hosts without servers are served',
         'requests are passed on',
