--- a/ebonypick/connection/_caller_stream.py
+++ b/ebonypick/connection/_caller_stream.py
@@ -134,7 +134,7 @@
             size = self._part_bytes()
             self._parse_part(data, size)
             data = data[size:]
-        if not self._unparseable:
+        if not (self._unparseable or self._closing):
             # A view would keep all of the received bytes in memory.
             self._unparsed = bytes(data)
         if self._in_head:
