--- a/bin/prove_needed.py
+++ b/bin/prove_needed.py
@@ -45,7 +45,7 @@
 
 CUTS = (
     Cut(
-        'clients fit into the machine',
+        'clients leave room on a host',
         'connections are shed for memory',
         'ebonypick/connection/_client_budget.py',
         'SHED_ABOVE = 0.75',
@@ -60,7 +60,7 @@
         ),
     ),
     Cut(
-        'clients fit into the machine',
+        'clients leave room on a host',
         'connections make room for new ones',
         'ebonypick/connection/_client_budget.py',
         'return len(self._sizes) >= self.capacity.connections',
@@ -68,7 +68,7 @@
         (UNRULY, '-k', 'callers-idle'),
     ),
     Cut(
-        'clients fit into the machine',
+        'clients leave room on a host',
         'few requests are parsed ahead',
         'ebonypick/connection/_caller_stream.py',
         'MAX_PARSED_REQUESTS = 32',
@@ -76,7 +76,7 @@
         ('ebonypick/connection/tests/test_pipelining.py', '-k', 'burst'),
     ),
     Cut(
-        'clients fit into the machine',
+        'clients leave room on a host',
         'heads are held as bytes',
         'ebonypick/connection/_header_fields.py',
         'MAX_UNPACKED_FIELDS = 64',
@@ -84,7 +84,7 @@
         ('ebonypick/connection/tests/test_header_fields.py',),
     ),
     Cut(
-        'clients fit into the machine',
+        'clients leave room on a host',
         'long names of objects are digested',
         'ebonypick/platform/_headers.py',
         '_MAX_OBJECT_KEY_CHARS = 64',
--- a/ebonypick/connection/_client_budget.py
+++ b/ebonypick/connection/_client_budget.py
@@ -148,11 +148,11 @@
         """
         self.used_bytes += size - self._sizes.get(conn, 0)
         self._sizes[conn] = size
-        now, before = self._idle, self._busy
-        if not idle:
-            now, before = before, now
-        before.pop(conn, None)
-        now.setdefault(conn)
+        joined, left = self._busy, self._idle
+        if idle:
+            joined, left = left, joined
+        left.pop(conn, None)
+        joined.setdefault(conn)
 
     def remove(self, conn):
         """Forget a connection that was closed or shed."""
--- a/ebonypick/process/_entry_host.py
+++ b/ebonypick/process/_entry_host.py
@@ -19,10 +19,10 @@
 from ebonypick.process import _crash_reports
 from ebonypick.process import _gossip
 from ebonypick.process import _gossip_pace
+from ebonypick.process import _host_capacity
 from ebonypick.process import _host_connections
 from ebonypick.process import _layouts
 from ebonypick.process import _links
-from ebonypick.process import _machine
 from ebonypick.process import _membership
 from ebonypick.process import _metrics
 from ebonypick.process import _relay
@@ -39,7 +39,7 @@
 STOP_POLL_S = 0.05
 # What clients may occupy. The rest of the memory is for the process itself
 # and for answers of servers, that of the descriptors for its own connections.
-CLIENTS = _machine.Share(memory=0.2, connections=0.6)
+CLIENTS = _host_capacity.Share(memory=0.2, connections=0.6)
 # Share of the memory for idempotency keys and the answers kept with them.
 LEDGER_SHARE = 0.1
 
@@ -63,7 +63,9 @@
             settings.host,
             uuid.uuid4().hex[:10],
             time.monotonic(),
-            round(settings.memory_mb * _machine.BYTES_PER_MB * LEDGER_SHARE),
+            round(
+                settings.memory_mb * _host_capacity.BYTES_PER_MB * LEDGER_SHARE
+            ),
         )
         self.platform = connection.make_platform(
             settings.adapter('platform'),
@@ -122,7 +124,7 @@
                     self.settings.port,
                     self._handle,
                     functools.partial(
-                        _machine.capacity, self.settings, CLIENTS
+                        _host_capacity.capacity, self.settings, CLIENTS
                     ),
                 )
             )
--- a/ebonypick/process/_machine.py
+++ b/ebonypick/process/_host_capacity.py
@@ -1,4 +1,4 @@
-"""The memory and the descriptors of the machine of a host."""
+"""The memory and the descriptors of a host, and what clients get of them."""
 
 import dataclasses
 import resource
@@ -10,10 +10,10 @@
 
 Amount = typing.Annotated[float, msgspec.Meta(gt=0)]
 Count = typing.Annotated[int, msgspec.Meta(ge=1)]
-# The smallest machine that runs a host.
+# Those of the smallest host.
 DEFAULT_MEMORY_MB = 300
 DEFAULT_FDS = 4_100
-# Descriptors of files, which the limit of the machine includes.
+# Descriptors of files, which the limit of the host includes.
 FILE_FDS = 200
 MIN_SOCKETS = 64
 BYTES_PER_MB = 1_000_000
@@ -21,7 +21,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Share:
-    """The share of a machine that the clients of a listener may occupy.
+    """The share of a host that the clients of a listener may occupy.
 
     Parameters
     ==========
--- a/ebonypick/process/_settings.py
+++ b/ebonypick/process/_settings.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ebonypick import errors
-from ebonypick.process import _machine
+from ebonypick.process import _host_capacity
 from ebonypick import version
 
 
@@ -61,8 +61,8 @@
         1_000
     )
     adapters: dict[str, str] = dataclasses.field(default_factory=dict)
-    memory_mb: _machine.Amount = _machine.DEFAULT_MEMORY_MB
-    max_fds: _machine.Count = _machine.DEFAULT_FDS
+    memory_mb: _host_capacity.Amount = _host_capacity.DEFAULT_MEMORY_MB
+    max_fds: _host_capacity.Count = _host_capacity.DEFAULT_FDS
 
     def adapter(self, interface):
         """Return the name of the adapter for an interface."""
--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -16,7 +16,7 @@
 from ebonypick.process import _forward
 from ebonypick.process import _gossip
 from ebonypick.process import _gossip_messages
-from ebonypick.process import _machine
+from ebonypick.process import _host_capacity
 from ebonypick.process import _membership
 from ebonypick.process import _metrics
 from ebonypick.process import _peer_directory
@@ -51,11 +51,11 @@
 # as much for buffers of changing sizes. The rest of the memory is for the
 # process itself and for answers of servers, that of the descriptors for
 # connections to servers, hosts and the store.
-CALLERS = _machine.Share(memory=0.18, connections=0.4)
-RELAYED = _machine.Share(memory=0.04, connections=0.125)
-LOOKUPS = _machine.Share(memory=0.03, connections=0.125)
-PEERS = _machine.Share(memory=0.04, connections=0.0625)
-PROBES = _machine.Share(memory=0.02, connections=0.03)
+CALLERS = _host_capacity.Share(memory=0.18, connections=0.4)
+RELAYED = _host_capacity.Share(memory=0.04, connections=0.125)
+LOOKUPS = _host_capacity.Share(memory=0.03, connections=0.125)
+PEERS = _host_capacity.Share(memory=0.04, connections=0.0625)
+PROBES = _host_capacity.Share(memory=0.02, connections=0.03)
 # Look-ups name no host for longer than this and ``contact`` after it is lost.
 LOST_HOST_S = 3.0
 # Time for the way of its last sign and until a look-up is answered.
@@ -190,7 +190,7 @@
         self._relayed, self._callers = servers[-2:]
 
     def _capacity(self, share):
-        return _machine.capacity(self.settings, share)
+        return _host_capacity.capacity(self.settings, share)
 
     def _start_tasks(self):
         keep = _tasks.keep_running
--- a/ebonypick/process/_steering_settings.py
+++ b/ebonypick/process/_steering_settings.py
@@ -7,7 +7,7 @@
 
 from ebonypick import endpoints
 from ebonypick import errors
-from ebonypick.process import _machine
+from ebonypick.process import _host_capacity
 from ebonypick import version
 
 Span = typing.Annotated[str, msgspec.Meta(pattern=r'^\d+(\.\d+)?(ms|s)$')]
@@ -100,8 +100,8 @@
     link_mbps: Positive = 1000.0
     terms: Terms = Terms()
     metrics_port: version.Port = METRICS_PORT
-    memory_mb: _machine.Amount = _machine.DEFAULT_MEMORY_MB
-    max_fds: _machine.Count = _machine.DEFAULT_FDS
+    memory_mb: _host_capacity.Amount = _host_capacity.DEFAULT_MEMORY_MB
+    max_fds: _host_capacity.Count = _host_capacity.DEFAULT_FDS
 
     @property
     def relays(self):
--- a/ebonypick/request/tests/test_idempotency.py
+++ b/ebonypick/request/tests/test_idempotency.py
@@ -12,7 +12,7 @@
 
 HOLDERS = ('h1', 'h2', 'h3')
 KEYS = 3
-MACHINE_BYTES = 4 * _idempotency.KEY_BYTES
+MODEL_BYTES = 4 * _idempotency.KEY_BYTES
 MAX_BYTES = 4_000_000
 
 
@@ -34,7 +34,7 @@
         self.boots += 1
         # Other keys may leave room for one of these.
         self.ledger = request.ClaimLedger(
-            'e1', f'b{self.boots}', self.now, MACHINE_BYTES
+            'e1', f'b{self.boots}', self.now, MODEL_BYTES
         )
 
     @stateful.rule()
--- a/tests/test_unruly_clients.py
+++ b/tests/test_unruly_clients.py
@@ -1,8 +1,8 @@
 """Tests of hosts whose clients make them hold as much as they can.
 
 Each client stays within the configured limits. The host may refuse such
-clients or close their connections. It has to live on within the memory and
-the descriptors of its machine and to answer other callers.
+clients or close their connections. It has to live on within its memory and
+its descriptors and to answer other callers.
 """
 
 import asyncio
@@ -21,7 +21,7 @@
 
 SEED = 53
 HOST = 'a-1-h0'
-# The machine of the hosts in these tests.
+# What the hosts in these tests have.
 MEMORY_MB = 120
 MAX_FDS = 300
 MANY_FDS = 4_100
@@ -101,9 +101,7 @@
 
 
 @pytest.mark.parametrize(('port', 'kind'), CASES)
-def test_a_crowd_fits_into_the_machine_and_others_are_answered(
-    tmp_path, port, kind
-):
+def test_a_crowd_leaves_room_and_others_are_answered(tmp_path, port, kind):
     """Guards against hosts that end or refuse everyone under such clients."""
     _check_crowd(tmp_path, (port,), kind, MAX_FDS)
 
@@ -153,13 +151,13 @@
 @pytest.mark.parametrize(
     'kind', ('heads of short lines', 'uploads without end')
 )
-def test_crowds_at_all_ports_at_once_fit_into_the_machine(tmp_path, kind):
+def test_crowds_at_all_ports_at_once_leave_room(tmp_path, kind):
     """The listeners' shares leave room for the process itself."""
     _check_crowd(tmp_path, tuple(PORTS), kind, MANY_FDS)
 
 
 def _check_crowd(tmp_path, ports, kind, max_fds):
-    """Check crowds at a host whose machine has so many descriptors."""
+    """Check crowds at a host that has so many descriptors."""
 
     async def play(world, session):
         for server in world.of('registry'):
@@ -257,7 +255,7 @@
 
 @pytest.fixture(params=[MAX_FDS])
 def small_entry(deployment, request):
-    """Yield the deployment with one entry host on a small machine."""
+    """Yield the deployment with one small entry host."""
     settings = {**SETTINGS, 'max_fds': request.param}
     deployment.kill(ENTRY)
     deployment.start_entry(ENTRY, in_flight_most=100, **settings)
@@ -287,7 +285,7 @@
 
 
 def _check_entry(small_entry, kind, max_fds):
-    """Check a crowd at the entry host on a small machine."""
+    """Check a crowd at the small entry host."""
     process = small_entry.processes[ENTRY]
     host = small_entry.cfg.entry_hosts()[ENTRY][1]
     crowd = crowds.crowds.get(kind)()
