--- a/ebonypick/events.py
+++ b/ebonypick/events.py
@@ -238,12 +238,6 @@
     'revision',
     'answer_age_s',
 )
-STORE_READ_AS_SUBSTITUTE = define(
-    'EP1423',
-    'This host reads the store for a while, as the store turns away a host '
-    'that reads it for the region.',
-    'reader',
-)
 STORE_REGAINED = define(
     'EP1412',
     'A table of the store is followed again after an outage.',
--- a/ebonypick/process/_roster.py
+++ b/ebonypick/process/_roster.py
@@ -2,8 +2,6 @@
 
 import time
 
-from ebonypick import endpoints
-from ebonypick import events
 from ebonypick import request
 from ebonypick import spans
 
@@ -13,10 +11,6 @@
 # two readers among three hosts, the third would get no changes until it
 # noticed the failure of both.
 MAX_ALL_READERS = 3
-# A host that a reader which the store turns away asks for rows reads the store
-# itself for this time after the last such question. Such readers ask a random
-# host about each 0.7 s.
-SUBSTITUTE_S = 2.5
 # After the start, all listed hosts count as alive until this time before
 # ``contact`` has passed, since their signs of life have not arrived yet. Some
 # may long be lost, and look-ups must not name these once ``contact`` has
@@ -87,7 +81,6 @@
     def __init__(self, node):
         self._node = node
         self._started_at = time.monotonic()
-        self._substitute_until = 0.0
 
     def live(self):
         """Return the hosts that take requests, by data centre."""
@@ -151,8 +144,8 @@
         centres = self._in_region(self.live())
         return [name for names in centres.values() for name in names]
 
-    def readers(self):
-        """Return the hosts that read the store for this host's region.
+    def reads_store(self):
+        """Return whether this host reads the store for its region.
 
         Hosts whose links carry little of the region's traffic read it only if
         there are too few others: a version may be as long as many requests.
@@ -162,47 +155,9 @@
         wide = self._in_region(self._with_capacity(live))
         if _count(hosts) > MAX_ALL_READERS and _count(wide) >= READERS:
             hosts = wide
-        return store_readers(self._node.settings.region, hosts)
-
-    def is_reader(self):
-        """Return whether this host is a reader of its region."""
-        readers = self.readers()
+        readers = store_readers(self._node.settings.region, hosts)
         return (
             self._node.leaving
             or self._node.settings.host in readers
             or not readers
         )
-
-    def reads_store(self):
-        """Return whether this host reads the store, also as a substitute."""
-        if time.monotonic() < self._substitute_until:
-            return True
-        return self.is_reader()
-
-    def substitute(self, address):
-        """Read the store for a while if a reader had to ask for rows.
-
-        The store may turn away some hosts and serve the others. If the
-        readers are among the former, they ask other hosts, and those that are
-        asked read the store in their place. A substitute that is turned away
-        as well asks others too, but is no reader, so that an outage does not
-        make more and more hosts call the store.
-
-        Parameters
-        ==========
-        address : str
-            The IP address of the host that asked for rows.
-        """
-        rows = self._node.connections.rows
-        asking = [
-            name
-            for name in self.readers()
-            if name in rows
-            and endpoints.parse_endpoint(rows[name].peers)[0] == address
-        ]
-        if not asking or self.is_reader():
-            return
-        now = time.monotonic()
-        if now >= self._substitute_until:
-            events.STORE_READ_AS_SUBSTITUTE.log(reader=asking[0])
-        self._substitute_until = now + SUBSTITUTE_S
--- a/ebonypick/process/_steering_control.py
+++ b/ebonypick/process/_steering_control.py
@@ -120,9 +120,6 @@
         after = platform.Revision(
             int(req.query.get('era', '0')), int(req.query.get('after', '-1'))
         )
-        if after.number >= 0 and req.query['table'] == platform.OPERATOR_TABLE:
-            # A host that asks for changes gets none from the store.
-            self._node.roster.substitute(req.client)
         if follower.revision <= after:
             await req.respond(204, [])
             return
--- a/ebonypick/process/_store_view.py
+++ b/ebonypick/process/_store_view.py
@@ -223,7 +223,7 @@
 
     def fetch_newer_tables(self, revisions, source):
         """Fetch tables of which a host of the region has a newer revision."""
-        if self._node.roster.is_reader():
+        if self._node.roster.reads_store():
             return
         for table, revision in revisions.items():
             follower = self.followers.get(table)
