Simplify what the bounds on clients added

Read once more; no behaviour changes: - the parser of a declined upgrade's body gets an object with two callbacks, in place of a flag that four callbacks of the stream looked at; - the time in which a caller takes nothing is counted by a class of its own without a network (_send_stall.py), and the unsent bytes are asked for once; - every error knows its default Retry-After in its templates, in place of a constructor of OverloadedError; - one check of the places at an entry host and one computation of a share of the memory, each of which stood twice; names and repeats in the crowds of tests.

--- a/ebonypick/connection/_caller_stream.py
+++ b/ebonypick/connection/_caller_stream.py
@@ -11,6 +11,7 @@
 import socket
 import struct
 import time
+import types
 
 import httptools
 
@@ -19,6 +20,7 @@
 from ebonypick.connection import _client_budget
 from ebonypick.connection import _head_limit
 from ebonypick.connection import _header_fields
+from ebonypick.connection import _send_stall
 from ebonypick.connection import _server_pool
 from ebonypick import errors
 
@@ -76,8 +78,6 @@
         self._unparsed = b''
         # Whether the rest of what the caller sends cannot be parsed.
         self._unparseable = False
-        # Whether the parser is given the framing of a request once more.
-        self._is_copied_head = False
         self._url = b''
         self._fields = _header_fields.FieldBuffer()
         self._in_head = False
@@ -90,11 +90,7 @@
         # Time of the last step that the client completed: a request, or the
         # reading of its answers.
         self._step_at = self._phase_started_at
-        # Unsent bytes at the last check, its time, and for how long they have
-        # been as many.
-        self._unsent_bytes = 0
-        self._checked_at = self._phase_started_at
-        self._stalled_s = 0.0
+        self._stall = _send_stall.SendStall(self._phase_started_at)
         self._timer = None
         self.client = ''
         # Whether the caller supports chunked transfer coding.
@@ -155,10 +151,11 @@
         return max(left or 0, PARSE_BYTES)
 
     def _parse_part(self, data, size):
+        part = data[:size]
         self._limit.max_bytes = self._server.header_bytes
-        self._limit.feed(min(size, len(data)))
+        self._limit.feed(len(part))
         try:
-            self._parser.feed_data(data[:size])
+            self._parser.feed_data(part)
             self._limit.check()
             return
         except httptools.HttpParserUpgrade as exc:
@@ -193,11 +190,16 @@
             for name, value in req.headers.items()
             if name.lower() in FRAMING_FIELDS
         ]
+        # Its head only tells the parser how the body is framed, and no request
+        # follows the body.
+        self._parser = httptools.HttpRequestParser(
+            types.SimpleNamespace(
+                on_body=self.on_body,
+                on_message_complete=self.on_message_complete,
+            )
+        )
         head = _server_pool.request_bytes('POST', '/', rows, None)
-        self._parser = httptools.HttpRequestParser(self)
-        self._is_copied_head = True
         self._parser.feed_data(head)
-        self._is_copied_head = False
         return True
 
     def eof_received(self):
@@ -230,8 +232,6 @@
 
     def on_message_begin(self):
         """Start the head of a request."""
-        if self._is_copied_head:
-            return
         self._url = b''
         self._fields.clear()
         if not self._in_head:
@@ -241,23 +241,17 @@
 
     def on_url(self, data):
         """Append a part of the request target."""
-        if self._is_copied_head:
-            return
         self._limit.add_element(len(data))
         self._url += data
 
     def on_header(self, name, value):
         """Store a header field; trailer fields are not used."""
-        if self._is_copied_head:
-            return
         self._limit.add_field(name, value)
         if self._in_head:
             self._fields.add(name, value)
 
     def on_headers_complete(self):
         """Queue a request, and run it if the concurrency limit allows."""
-        if self._is_copied_head:
-            return
         self._limit.reset_incomplete()
         self._in_head = False
         if self._stopped_accepting:
@@ -550,35 +544,19 @@
             return UNREAD_BODY_TIMEOUT_S
         return self._server.idle_s
 
-    def _stalled(self):
-        """Return whether the caller reads none of its answers any more.
-
-        The operator's limit on idle connections applies to callers that take
-        nothing as to those that send nothing.
-        """
-        now = time.monotonic()
-        unsent = self._transport.get_write_buffer_size()
-        # A process that stood still does not blame its callers for that.
-        elapsed_s = min(now - self._checked_at, 2 * LIMIT_CHECK_PERIOD_S)
-        if unsent and unsent == self._unsent_bytes:
-            self._stalled_s += elapsed_s
-        else:
-            self._stalled_s = 0.0
-        self._checked_at = now
-        self._unsent_bytes = unsent
-        return self._stalled_s >= self._server.idle_s
-
     def _check_limits(self):
         """Close the connection if a time limit is exceeded."""
-        if self._stalled():
+        now = time.monotonic()
+        unsent = self._transport.get_write_buffer_size()
+        # The operator's limit on idle connections applies to callers that take
+        # nothing as to those that send nothing.
+        if self._stall.check(unsent, now) >= self._server.idle_s:
             self.abort()
             return
-        late = (
-            time.monotonic() - self._phase_started_at >= self._phase_limit_s()
-        )
+        late = now - self._phase_started_at >= self._phase_limit_s()
         if self._closing:
             # With unsent bytes, a caller on a slow link is still reading.
-            if late and not self._transport.get_write_buffer_size():
+            if late and not unsent:
                 self._transport.close()
                 return
         elif late and self._in_head and not self._order:
--- a/ebonypick/errors.py
+++ b/ebonypick/errors.py
@@ -31,8 +31,9 @@
     remedy = 'Read the log of the process that answered.'
 
     def __init__(self, **fields):
-        self.fields = fields
-        self.retry_after_s = fields.get('retry_after_s', self.retry_after_s)
+        # The templates may name the default of the class.
+        self.fields = {'retry_after_s': self.retry_after_s, **fields}
+        self.retry_after_s = self.fields['retry_after_s']
         super().__init__(fields)
 
     @property
@@ -228,9 +229,6 @@
         'Ask another entry host, or send it again after {retry_after_s} s.'
     )
 
-    def __init__(self, **fields):
-        super().__init__(**{'retry_after_s': self.retry_after_s, **fields})
-
 
 class StoreUnavailableError(ServingError):
     """The platform's table could not record the request's key."""
--- a/ebonypick/events.py
+++ b/ebonypick/events.py
@@ -168,16 +168,6 @@
     'took_ms',
     'config',
 )
-CLIENTS_SHED = define(
-    'EP1216',
-    'Connections were closed, or their requests refused, as the clients of a '
-    'port hold too much.',
-    'port',
-    'connections',
-    'used_bytes',
-    'closed',
-    'why',
-)
 REPEAT_DECIDED = define(
     'EP1215',
     'The limit on repeated attempts allowed a repeat of a request or '
@@ -188,6 +178,16 @@
     'room',
     'hosts',
 )
+CLIENTS_SHED = define(
+    'EP1216',
+    'Connections were closed, or their requests refused, as the clients of a '
+    'port hold too much.',
+    'port',
+    'connections',
+    'used_bytes',
+    'closed',
+    'why',
+)
 BACKEND_CHANGED = define(
     'EP1301', 'A backend server changed its state.', 'backend', 'state', 'why'
 )
--- a/ebonypick/process/_body.py
+++ b/ebonypick/process/_body.py
@@ -77,8 +77,8 @@
         self._identity = self._start
         if state is _State.STARTED:
             # How much more of it has arrived differs from time to time.
-            start = memoryview(self._start)[: self._buffer_bytes]
-            self._identity = request.fingerprint(start).encode()
+            first = memoryview(self._start)[: self._buffer_bytes]
+            self._identity = request.fingerprint(first).encode()
         self._req.body_refusable = False
 
     async def _read(self):
--- a/ebonypick/process/_entry_host.py
+++ b/ebonypick/process/_entry_host.py
@@ -63,9 +63,7 @@
             settings.host,
             uuid.uuid4().hex[:10],
             time.monotonic(),
-            round(
-                settings.memory_mb * _host_capacity.BYTES_PER_MB * LEDGER_SHARE
-            ),
+            _host_capacity.memory_bytes(settings, LEDGER_SHARE),
         )
         self.platform = connection.make_platform(
             settings.adapter('platform'),
@@ -183,8 +181,13 @@
             )
         if self.board.version is None:
             return errors.NotReadyError(reason='it has no configuration yet')
-        if self._served >= self.settings.in_flight_most:
-            return errors.BusyError(limit=self.settings.in_flight_most)
+        return self._busy_error()
+
+    def _busy_error(self):
+        """Return an error if as many as allowed are served, or None."""
+        limit = self.settings.in_flight_most
+        if self._served >= limit:
+            return errors.BusyError(limit=limit)
         return None
 
     @contextlib.contextmanager
@@ -198,8 +201,9 @@
         errors.BusyError
             If as many as the settings allow are being served.
         """
-        if self._served >= self.settings.in_flight_most:
-            raise errors.BusyError(limit=self.settings.in_flight_most)
+        error = self._busy_error()
+        if error is not None:
+            raise error
         self._served += 1
         try:
             yield
--- a/ebonypick/process/_host_capacity.py
+++ b/ebonypick/process/_host_capacity.py
@@ -35,6 +35,19 @@
     connections: float
 
 
+def memory_bytes(settings, share):
+    """Return a share of the host's memory in bytes.
+
+    Parameters
+    ==========
+    settings : SteeringSettings or Settings
+        The settings of the host.
+    share : float
+        The share of the memory.
+    """
+    return round(settings.memory_mb * BYTES_PER_MB * share)
+
+
 def capacity(settings, share):
     """Return what the clients of a listener may occupy now.
 
@@ -57,6 +70,6 @@
         fds = min(fds, allowed)
     sockets = max(MIN_SOCKETS, fds - FILE_FDS)
     return connection.Capacity(
-        round(settings.memory_mb * BYTES_PER_MB * share.memory),
+        memory_bytes(settings, share.memory),
         max(1, round(sockets * share.connections)),
     )
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -93,6 +93,11 @@
     )
 
 
+def _action(number, *lines):
+    """Return the head of a request that has a body."""
+    return request(f'{number:06x}', *lines, method='POST', kind='act')
+
+
 @crowds.register('heads of short lines')
 def short_lines():
     """Return a crowd whose heads have thousands of very short lines."""
@@ -126,12 +131,7 @@
     """Return a crowd that announces bodies behind heads of short lines."""
     lines = fill(b'%x:\r\n', HEAD_BYTES - 250)
     lines.append(b'Content-Length: 1000\r\n')
-
-    def data(number):
-        name = f'{number:06x}'
-        return request(name, *lines, method='POST', kind='act')
-
-    return Crowd(data, 250)
+    return Crowd(lambda number: _action(number, *lines), 250)
 
 
 @crowds.register('heads of short lines that return')
@@ -140,14 +140,17 @@
     lines = fill(b'%x:\r\n', HEAD_BYTES - 200)
     lines.append(b'Connection: close\r\n')
     return Crowd(
-        lambda number: request(f'{number:06x}', *lines), 100, True, b'', True
+        lambda number: request(f'{number:06x}', *lines),
+        100,
+        reads=True,
+        returns=True,
     )
 
 
 @crowds.register('idle connections that return')
 def returning_idle():
     """Return a crowd of connections that are opened again when closed."""
-    return Crowd(lambda number: b'', 400, True, b'', True)
+    return Crowd(lambda number: b'', 400, reads=True, returns=True)
 
 
 @crowds.register('bursts of small requests')
@@ -163,24 +166,14 @@
     """Return a crowd that sends most of its bodies and then nothing."""
     length = b'Content-Length: 1000000\r\n'
     body = bytes(BODY_BYTES)
-
-    def data(number):
-        name = f'{number:06x}'
-        return request(name, length, method='POST', kind='act') + body
-
-    return Crowd(data, 150)
+    return Crowd(lambda number: _action(number, length) + body, 150)
 
 
 @crowds.register('slow uploads')
 def slow_uploads():
     """Return a crowd whose bodies go on, one byte at a time."""
     length = b'Content-Length: 1000\r\nEbonypick-Deadline-Ms: 3000000\r\n'
-
-    def data(number):
-        name = f'{number:06x}'
-        return request(name, length, method='POST', kind='act')
-
-    return Crowd(data, 150, drip=b'x')
+    return Crowd(lambda number: _action(number, length), 150, drip=b'x')
 
 
 @crowds.register('bodies in small chunks')
