Let other hosts read the store where it turns the readers away

Cause: readers follow from who lives, not from whom the store serves. A reader without answers kept its role and asked random hosts, which wait for it; no host that is served called the store.

Change: a reader without answers for a long poll and 3 s asks hosts of its region, one after the other, to read the table until one is served, and repeats that each second; the host that is asked makes one call, reads under a lease of 4 s if it is answered, and else calls no more. The search is a state machine of its own. A host that does not read the store no longer calls it until served. EP1423 and EP1424 tell who asked whom and what the store did.

The first host is asked only after a call that failed late enough, so that outages of 3 s make no other host call, and tests/test_store_load.py holds as it stands.

tests/test_readers_turned_away.py failed before (no host served the new route within 14 s, 503). Stand-in store: other refusals; open calls end.

--- a/bin/prove_needed.py
+++ b/bin/prove_needed.py
@@ -586,6 +586,22 @@
         'READERS = 99',
         ('tests/test_store_load.py',),
     ),
+    Cut(
+        'a configuration is in force in time',
+        'other hosts read the store where it turns readers away',
+        'ebonypick/process/_substitutes.py',
+        'self._followers[table].needs_substitute',
+        'False',
+        ('tests/test_readers_turned_away.py', '-k', 'in_force and busy'),
+    ),
+    Cut(
+        'few calls of the store',
+        'a host that no longer reads makes no call',
+        'ebonypick/process/_table_follower.py',
+        'if self.revision != platform.NO_REVISION and not self._reads():',
+        'if known and not self._reads():',
+        ('ebonypick/process/tests/test_table_follower.py', '-k', 'stops_call'),
+    ),
     Cut(
         'not-run is true',
         'what earlier attempts may have done is remembered',
--- a/ebonypick/events.py
+++ b/ebonypick/events.py
@@ -238,6 +238,24 @@
     'revision',
     'answer_age_s',
 )
+SUBSTITUTE_ASKED = define(
+    'EP1423',
+    'The store does not answer this host, which asked another one to read a '
+    'table in its place.',
+    'table',
+    'peer',
+    'status',
+    'unanswered_s',
+)
+SUBSTITUTE_READS = define(
+    'EP1424',
+    'This host was asked to read a table of the store for the region and '
+    'called the store, which answered or not.',
+    'table',
+    'peer',
+    'served',
+    'revision',
+)
 STORE_REGAINED = define(
     'EP1412',
     'A table of the store is followed again after an outage.',
--- a/ebonypick/process/_roster.py
+++ b/ebonypick/process/_roster.py
@@ -18,6 +18,10 @@
 TRUST_MARGIN_S = 1.5
 
 
+def _names(hosts):
+    return [name for names in hosts.values() for name in names]
+
+
 def store_readers(region, hosts):
     """Return the hosts of a region that read the store.
 
@@ -44,7 +48,7 @@
         The readers. They are in different data centres if the region has
         several, so that a reader remains if one data centre fails.
     """
-    every = [name for names in hosts.values() for name in names]
+    every = _names(hosts)
     if len(every) <= MAX_ALL_READERS:
         return tuple(sorted(every))
     centres = request.rendezvous(
@@ -60,7 +64,7 @@
 
 
 def _count(hosts):
-    return sum(len(names) for names in hosts.values())
+    return len(_names(hosts))
 
 
 class Roster:
@@ -141,11 +145,10 @@
 
     def of_region(self):
         """Return the live hosts of this host's region."""
-        centres = self._in_region(self.live())
-        return [name for names in centres.values() for name in names]
+        return _names(self._in_region(self.live()))
 
-    def reads_store(self):
-        """Return whether this host reads the store for its region.
+    def readers(self):
+        """Return the hosts that read the store for this host's region.
 
         Hosts whose links carry little of the region's traffic read it only if
         there are too few others: a version may be as long as many requests.
@@ -155,9 +158,35 @@
         wide = self._in_region(self._with_capacity(live))
         if _count(hosts) > MAX_ALL_READERS and _count(wide) >= READERS:
             hosts = wide
-        readers = store_readers(self._node.settings.region, hosts)
+        return store_readers(self._node.settings.region, hosts)
+
+    def reads_store(self):
+        """Return whether this host reads the store for its region."""
+        readers = self.readers()
         return (
             self._node.leaving
             or self._node.settings.host in readers
             or not readers
         )
+
+    def reader_candidates(self):
+        """Return the hosts that may read the store in place of this one.
+
+        Returns
+        =======
+        tuple of str
+            The other readers of the region, then its other live hosts, those
+            with wide links first. Each host has its own order, so that two
+            readers choose different hosts.
+        """
+        host = self._node.settings.host
+        live = self.live()
+        readers = self.readers()
+        wide = _names(self._in_region(self._with_capacity(live)))
+        every = _names(self._in_region(live))
+        ranks = {name: 2 for name in every}
+        ranks.update({name: 1 for name in wide})
+        ranks.update({name: 0 for name in readers})
+        ranks.pop(host, None)
+        order = request.rendezvous(host, ranks, len(ranks))
+        return tuple(sorted(order, key=ranks.get))
--- a/ebonypick/process/_row_broadcast.py
+++ b/ebonypick/process/_row_broadcast.py
@@ -164,6 +164,11 @@
             Told(host, follower.rows_since(after), self._descendants())
         )
 
+    def skip_to(self, table, revision):
+        """Leave out changes up to a revision, which others have broadcast."""
+        known = self._broadcast_revisions.get(table, platform.NO_REVISION)
+        self._broadcast_revisions[table] = max(known, revision)
+
     async def broadcast_leaving(self, instance, started_ms):
         """Broadcast that a server announced its shutdown."""
         host = self._node.settings.host
--- a/ebonypick/process/_steering_control.py
+++ b/ebonypick/process/_steering_control.py
@@ -7,6 +7,7 @@
 from ebonypick import events
 from ebonypick import platform
 from ebonypick.process import _body
+from ebonypick.process import _substitutes
 from ebonypick import spans
 
 # Time for which a caller may cache the answer of a look-up. It is below the
@@ -106,6 +107,11 @@
         broadcaster.receive(await _read_body(req), req.client)
         await req.respond(204, [])
 
+    async def _read_store(self, req):
+        substitutes = self._node.store_view.substitutes
+        reads = await substitutes.read_for(await _read_body(req), req.client)
+        await req.respond(204 if reads else 503, [])
+
     async def _receive_leaving(self, req):
         self._node.store_view.broadcaster.receive_leaving(
             await _read_body(req)
@@ -138,6 +144,7 @@
     ('POST', '/peer/v1/rows'): Control._receive_rows,
     ('GET', '/peer/v1/rows'): Control._send_rows,
     ('POST', '/peer/v1/leaving'): Control._receive_leaving,
+    ('POST', _substitutes.PATH): Control._read_store,
 }
 
 
--- a/ebonypick/process/_store_view.py
+++ b/ebonypick/process/_store_view.py
@@ -10,6 +10,7 @@
 from ebonypick.process import _registrations
 from ebonypick.process import _row_broadcast
 from ebonypick.process import _row_order
+from ebonypick.process import _substitutes
 from ebonypick.process import _table_follower
 from ebonypick import spans
 
@@ -63,6 +64,9 @@
             ),
         }
         self.broadcaster = _row_broadcast.Broadcaster(node, self.followers)
+        self.substitutes = _substitutes.Substitutes(
+            node, self.followers, self.broadcaster
+        )
         self.host_rows = _host_rows.HostRows(
             node, self.followers[platform.HOST_TABLE]
         )
@@ -73,16 +77,20 @@
             table,
             self._publish_and_broadcast(table, publish),
             self._node.connections.pools,
-            self._node.roster.reads_store,
+            lambda: self._reads(table),
             **terms,
         )
 
+    def _reads(self, table):
+        """Return whether this host reads a table, for itself and others."""
+        return self._node.roster.reads_store() or self.substitutes.reads(table)
+
     def _publish_and_broadcast(self, table, publish):
         """Return a function that applies rows and broadcasts the change."""
 
         def take(rows):
             publish(rows)
-            if self._node.roster.reads_store():
+            if self._reads(table):
                 self._node.tasks.start(self.broadcaster.broadcast(table))
 
         return take
--- a/ebonypick/process/_table_follower.py
+++ b/ebonypick/process/_table_follower.py
@@ -26,6 +26,9 @@
 # Time that one more call on a new connection, and the broadcast of its rows
 # to other hosts over silent connections, may take.
 SPREAD_S = 1.0
+# Outages shorter than this and a long poll make no further host call the
+# store, as a reader cannot tell an outage from being turned away.
+SHORT_OUTAGE_S = 3.0
 # Pause after an update, so that changes in quick succession are read at once.
 COALESCE_S = 0.25
 INITIAL_RETRY_S = 0.3
@@ -123,6 +126,10 @@
         self._watch_s = watch_s
         self._rows = _table_rows.TableRows(table, retention_s, is_later)
         self._unavailable_since = None
+        # When the first call failed since the last answer was sent, and when
+        # the latest call failed.
+        self._unanswered_since = None
+        self._failed_at = None
         self._recovered_at = None
         self._answered_at = None
         self._is_fetching = False
@@ -154,6 +161,22 @@
         """Whether the last call to the store failed."""
         return self._unavailable_since is not None
 
+    @property
+    def unanswered_s(self):
+        """The seconds for which calls to the store are known to fail."""
+        if self._unanswered_since is None:
+            return 0.0
+        return self._failed_at - self._unanswered_since
+
+    @property
+    def needs_substitute(self):
+        """Whether calls fail for so long that another host should read."""
+        return self.unanswered_s >= self._substitute_after_s
+
+    @property
+    def _substitute_after_s(self):
+        return self._watch_s + SHORT_OUTAGE_S
+
     def rows_since(self, after=platform.NO_REVISION):
         """Return the changes after a revision as a message to a peer."""
         return self._rows.rows_since(after, time.monotonic())
@@ -163,11 +186,14 @@
         pause_s = INITIAL_RETRY_S
         known = False
         while True:
+            if self.revision != platform.NO_REVISION and not self._reads():
+                if self._unanswered_since is not None:
+                    self._forget_failures()
+                await asyncio.sleep(ROLE_CHECK_S)
+                self._expire_retained()
+                continue
+            called_at = time.monotonic()
             try:
-                if known and not self._reads():
-                    await asyncio.sleep(ROLE_CHECK_S)
-                    self._expire_retained()
-                    continue
                 if known:
                     known = await self._watch_through_silence()
                 else:
@@ -175,18 +201,49 @@
                     known = True
                 pause_s = INITIAL_RETRY_S
             except platform.HistoryExpiredError:
-                events.HISTORY_EXPIRED.log(
-                    table=self._table, revision=self.revision
-                )
+                self._log_expired()
                 known = False
             except errors.PlatformError as exc:
-                self._note_unavailable(exc)
+                self._note_unavailable(exc, called_at)
                 # After a long outage the store's history may no longer hold
                 # the changes since.
                 known = False
                 await self._poll_peers_for(pause_s)
                 pause_s = min(MAX_RETRY_S, 2 * pause_s)
 
+    async def probe(self, unanswered_s):
+        """Read the changes once in place of a host that gets no answers.
+
+        Parameters
+        ==========
+        unanswered_s : float
+            Seconds for which the store has not answered that host. The store
+            may have been away for all hosts, so rows that lapsed meanwhile
+            are retained as after an outage.
+
+        Returns
+        =======
+        bool
+            Whether the store answered.
+        """
+        self._unavailable_since = time.monotonic() - unanswered_s
+        try:
+            await self._catch_up()
+        except errors.PlatformError as exc:
+            self._forget_failures()
+            events.PLATFORM_FAILED.log(why=str(exc))
+            return False
+        return True
+
+    async def _catch_up(self):
+        """Apply the changes so far, without a wait for further ones."""
+        try:
+            if await self._watch(0.0):
+                return
+        except platform.HistoryExpiredError:
+            self._log_expired()
+        await self._read()
+
     async def _read(self):
         """Read the whole table and publish it."""
         state = await self._store.read_table(self._table)
@@ -249,9 +306,14 @@
             self._watch_s, max(MIN_EXPIRY_WAIT_S, until - time.monotonic())
         )
 
-    def _note_unavailable(self, exc):
+    def _log_expired(self):
+        events.HISTORY_EXPIRED.log(table=self._table, revision=self.revision)
+
+    def _note_unavailable(self, exc, called_at):
+        self._failed_at = time.monotonic()
         if self._unavailable_since is None:
-            self._unavailable_since = time.monotonic()
+            self._unavailable_since = self._failed_at
+            self._unanswered_since = called_at
             events.STORE_LOST.log(
                 table=self._table,
                 revision=self.revision,
@@ -259,6 +321,11 @@
                 why=str(exc),
             )
 
+    def _forget_failures(self):
+        """Forget failed calls, as this host no longer makes any."""
+        self._unavailable_since = None
+        self._unanswered_since = None
+
     def _answer_age_s(self):
         """Return the seconds since the store's last answer, or None."""
         if self._answered_at is None:
@@ -280,7 +347,7 @@
         self._rows.extend_retention(
             now + min(LAPSED_HOLD_S, self._retention_s)
         )
-        self._unavailable_since = None
+        self._forget_failures()
 
     def _lapsed_until(self):
         """Return the time until which missing rows are retained, or None."""
@@ -328,8 +395,16 @@
         return used
 
     async def _poll_peers_for(self, pause_s):
-        """Fetch newer rows from peers, repeatedly, for a jittered pause."""
-        end = time.monotonic() + pause_s * random.uniform(0.7, 1.3)
+        """Fetch newer rows from peers, repeatedly, for a jittered pause.
+
+        The pause ends early where the store is called once more before this
+        host needs a substitute.
+        """
+        now = time.monotonic()
+        end = now + pause_s * random.uniform(0.7, 1.3)
+        substitute_at = self._unanswered_since + self._substitute_after_s
+        if now < substitute_at:
+            end = min(end, substitute_at)
         await self.fetch_from_peer()
         while (left_s := end - time.monotonic()) > 0:
             await asyncio.sleep(min(left_s, PEER_INTERVAL_S))
--- a/ebonypick/process/tests/test_malformed_messages.py
+++ b/ebonypick/process/tests/test_malformed_messages.py
@@ -22,6 +22,7 @@
 from ebonypick.process import _row_broadcast
 from ebonypick.process import _steering_control
 from ebonypick.process import _steering_settings
+from ebonypick.process import _substitutes
 from ebonypick.process import _table_follower
 
 # JSON values of every type, nested in any way.
@@ -103,6 +104,7 @@
             ('POST', '/peer/v1/rows'),
             ('GET', '/peer/v1/rows'),
             ('POST', '/peer/v1/leaving'),
+            ('POST', _substitutes.PATH),
         ]
     ),
     MESSAGES,
@@ -119,8 +121,14 @@
     )
     node = types.SimpleNamespace(
         gossip=types.SimpleNamespace(receive=_gossip_task),
-        store_view=types.SimpleNamespace(
-            broadcaster=_broadcaster(follower), followers={'t': follower}
+        roster=types.SimpleNamespace(reads_store=lambda: True),
+    )
+    broadcaster = _broadcaster(follower)
+    node.store_view = types.SimpleNamespace(
+        broadcaster=broadcaster,
+        followers={'t': follower},
+        substitutes=_substitutes.Substitutes(
+            node, {'t': follower}, broadcaster
         ),
     )
     headers = {}
--- a/ebonypick/process/tests/test_narrow_links.py
+++ b/ebonypick/process/tests/test_narrow_links.py
@@ -142,3 +142,10 @@
         if name not in lost and _node(name, lost).roster.reads_store()
     ]
     assert len(readers) == 2
+
+
+def test_substitutes_for_readers_have_wide_links_if_there_are_any():
+    """Guards against large rows of the store on narrow links."""
+    candidates = _node('a1-n1').roster.reader_candidates()
+    assert set(candidates[:2]) == {'a1-wide', 'a2-wide'}
+    assert set(candidates) == {*HOSTS['a1'], *HOSTS['a2']} - {'a1-n1'}
--- a/ebonypick/process/tests/test_roster.py
+++ b/ebonypick/process/tests/test_roster.py
@@ -41,7 +41,7 @@
     assert _roster.store_readers('r', {}) == ()
 
 
-def _roster_of(cut_off, hosts):
+def _roster_of(cut_off, hosts, host='c0-0'):
     regions = {'c0': 'r', 'c1': 'r', 'c2': 's'}
     view = _membership.View(hosts, frozenset(), frozenset(cut_off))
     rows = {
@@ -51,7 +51,10 @@
     }
     node = types.SimpleNamespace(
         settings=types.SimpleNamespace(
-            data_centres=regions, terms=types.SimpleNamespace(contact='3s')
+            host=host,
+            region='r',
+            data_centres=regions,
+            terms=types.SimpleNamespace(contact='3s'),
         ),
         board=types.SimpleNamespace(view=view),
         connections=types.SimpleNamespace(rows=rows, centres=lambda: hosts),
@@ -82,3 +85,17 @@
     every = {name for names in hosts.values() for name in names}
     assert _roster_of(every, hosts).relaying() == {}
     assert _roster_of(every - {'c2-0'}, hosts).relaying() == {'c2': ('c2-0',)}
+
+
+def test_a_reader_may_ask_all_hosts_of_its_region_the_other_reader_first():
+    hosts = _hosts(6, 5, 2)
+    region = {centre: hosts[centre] for centre in ('c0', 'c1')}
+    every = {name for names in region.values() for name in names}
+    readers = _roster.store_readers('r', region)
+    first, second = (
+        _roster_of((), hosts, host).reader_candidates() for host in readers
+    )
+    assert (second[0], first[0]) == readers
+    assert set(first) == every - {readers[0]}
+    assert set(second) == every - {readers[1]}
+    assert first[1] != second[1]
--- a/ebonypick/process/tests/test_table_follower.py
+++ b/ebonypick/process/tests/test_table_follower.py
@@ -49,10 +49,10 @@
             assert time.monotonic() < end, self.follower.rows
             await asyncio.sleep(0.01)
 
-    async def until_unavailable(self):
+    async def until_unavailable(self, unavailable=True):
         """Wait until the follower notices that the store is unavailable."""
         end = time.monotonic() + TIMEOUT_S
-        while not self.follower.unavailable:
+        while self.follower.unavailable is not unavailable:
             assert time.monotonic() < end
             await asyncio.sleep(0.01)
 
@@ -293,6 +293,97 @@
     asyncio.run(run())
 
 
+@contextlib.asynccontextmanager
+async def _idle_scene(**terms):
+    """A follower that has the table and does not read the store."""
+    reading = [True]
+    async with _scene(reads=lambda: reading[0], **terms) as scene:
+        scene.put('a', b'1')
+        scene.put('b', b'1')
+        await scene.until('a', 'b')
+        # The call that waits for a change ends with the next one.
+        await asyncio.sleep(2 * _table_follower.COALESCE_S)
+        reading[0] = False
+        scene.put('b', b'2')
+        await asyncio.sleep(2 * _table_follower.COALESCE_S)
+        assert scene.follower.rows['b'] == b'2'
+        yield scene, reading
+
+
+def test_a_host_that_does_not_read_the_store_gets_changes_by_one_call():
+    async def run():
+        async with _idle_scene() as (scene, _):
+            scene.put('c', b'1')
+            before = len(scene.store.call_log)
+            assert await scene.follower.probe(5.0)
+            assert set(scene.follower.rows) == {'a', 'b', 'c'}
+            assert len(scene.store.call_log) == before + 1
+            scene.store.drop_history()
+            scene.put('d', b'1')
+            scene.store.drop_history()
+            assert await scene.follower.probe(5.0)
+            assert set(scene.follower.rows) == {'a', 'b', 'c', 'd'}
+
+    asyncio.run(run())
+
+
+def test_a_host_that_no_longer_reads_the_store_stops_calling_it():
+    """Guards against hosts that call for as long as they get no answer."""
+
+    async def run():
+        async with _idle_scene() as (scene, reading):
+            scene.store.faults.down = True
+            assert not await scene.follower.probe(5.0)
+            reading[0] = True
+            await scene.until_unavailable()
+            reading[0] = False
+            await scene.until_unavailable(False)
+            before = len(scene.store.call_log)
+            await asyncio.sleep(3 * _table_follower.INITIAL_RETRY_S)
+            assert len(scene.store.call_log) == before
+
+    asyncio.run(run())
+
+
+def test_rows_that_lapse_are_retained_by_a_host_that_reads_for_others():
+    """The store may have been away for the host that asked and for all."""
+
+    async def run():
+        async with _idle_scene(retain_lapsed=True) as (scene, _):
+            scene.remove('a')
+            assert await scene.follower.probe(5.0)
+            assert set(scene.follower.rows) == {'a', 'b'}
+            await scene.until('b')
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('refusal', store.REFUSALS)
+def test_a_reader_needs_a_substitute_after_more_than_a_short_outage(refusal):
+    """Guards against hosts that call the store in each short outage."""
+    watch_s = 0.5
+    after_s = watch_s + _table_follower.SHORT_OUTAGE_S
+
+    async def run():
+        async with _scene(watch_s=watch_s) as scene:
+            scene.put('a', b'1')
+            await scene.until('a')
+            scene.store.turn_away(['127.0.0.1'], refusal)
+            away_at = time.monotonic()
+            while not scene.follower.needs_substitute:
+                await asyncio.sleep(0.01)
+            took_s = time.monotonic() - away_at
+            scene.store.turn_away([])
+            while scene.follower.needs_substitute:
+                await asyncio.sleep(0.01)
+            return took_s
+
+    took_s = asyncio.run(asyncio.wait_for(run(), TIMEOUT_S))
+    assert after_s - watch_s - 0.1 <= took_s
+    # A call of a whole table that gets no answer may have begun just before.
+    assert took_s <= after_s + platform._store.CALL_TIMEOUT_S
+
+
 @contextlib.asynccontextmanager
 async def _slow_peer(follower, parts, pause_s, calls):
     """Yield the connections to a host that sends a table in parts."""
--- a/standins/store.py
+++ b/standins/store.py
@@ -19,6 +19,8 @@
 PAGE_ROWS = 500
 PAGE_NAMES = 1_000
 READ_ONLY_TABLES = frozenset({'op', 'servers'})
+# Status of the answers to a client that is turned away, where it gets any.
+REFUSALS = {'busy': 503, 'many': 429, 'reset': None, 'silent': None}
 # Interval at which a waiting feed call checks for changes.
 FEED_POLL_S = 0.01
 
@@ -57,7 +59,9 @@
     lose_answers : int
         Number of further writes that are applied but not answered.
     turned_away : set of str
-        Client addresses whose calls are answered with 503.
+        Client addresses whose calls are refused.
+    refusal : str
+        How their calls are refused, one of REFUSALS.
     """
 
     down: bool = False
@@ -65,6 +69,7 @@
     delay_s: float = 0.0
     lose_answers: int = 0
     turned_away: set = dataclasses.field(default_factory=set)
+    refusal: str = 'busy'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -218,6 +223,25 @@
         self._history = list(copy.history)
         return LostRows(copy.revision, lost)
 
+    def turn_away(self, clients, refusal='busy'):
+        """Refuse the calls of some clients from now on, also open ones.
+
+        Parameters
+        ==========
+        clients : iterable of str
+            Their IP addresses.
+        refusal : str
+            How their calls are refused, one of REFUSALS. Unless the store
+            falls silent, their open connections are reset.
+        """
+        self.faults.turned_away = set(clients)
+        self.faults.refusal = refusal
+        if refusal == 'silent':
+            return
+        for conn in self._server.open_connections():
+            if conn.client in self.faults.turned_away:
+                conn.abort()
+
     async def restore_after_outage(self, copy, away_s):
         """Be down for ``away_s`` seconds, then ``restore`` the snapshot."""
         self.faults.down = True
@@ -275,9 +299,12 @@
             await asyncio.sleep(3600)
         if self.faults.delay_s:
             await asyncio.sleep(self.faults.delay_s)
-        if self.faults.down or req.client in self.faults.turned_away:
+        if self.faults.down:
             await req.respond(503, self._headers(), b'{}')
             return
+        if req.client in self.faults.turned_away:
+            await self._refuse(req)
+            return
         if not self._allowed(req.method):
             await req.respond(429, self._headers(), b'{}')
             return
@@ -289,8 +316,23 @@
             self.faults.lose_answers -= 1
             req.abort()
             return
+        if self._is_silent_to(req.client):
+            await asyncio.sleep(3600)
         await req.respond(status, self._headers(), body)
 
+    def _is_silent_to(self, client):
+        turned_away = client in self.faults.turned_away
+        return turned_away and self.faults.refusal == 'silent'
+
+    async def _refuse(self, req):
+        status = REFUSALS[self.faults.refusal]
+        if status is not None:
+            await req.respond(status, self._headers(), b'{}')
+        elif self._is_silent_to(req.client):
+            await asyncio.sleep(3600)
+        else:
+            req.abort()
+
     def _headers(self):
         return [*JSON, ('store-era', str(self._era))]
 
