Ask for a substitute 3 s after the store's first failure

Change: one search for all tables of a host; a substitute reads all of them. The time counts from the first failure until the latest failed call was sent (StoreContact, without a network), so that a short outage never shows the need, whatever the pauses are; a call without any answer counts as a whole. The reader calls once more when 3 s are over. A search begins with rounds 0.5 s apart; a host that is asked answers without the pause that gathers changes.

Ruled out: a shorter time. tests/test_store_load.py, which holds unchanged, allows no further host to call in an outage of 3 s.

--- a/bin/prove_needed.py
+++ b/bin/prove_needed.py
@@ -590,7 +590,7 @@
         'a configuration is in force in time',
         'other hosts read the store where it turns readers away',
         'ebonypick/process/_substitutes.py',
-        'self._followers[table].needs_substitute',
+        'self._contact.needs_substitute',
         'False',
         ('tests/test_readers_turned_away.py', '-k', 'in_force and busy'),
     ),
--- a/ebonypick/events.py
+++ b/ebonypick/events.py
@@ -240,18 +240,16 @@
 )
 SUBSTITUTE_ASKED = define(
     'EP1423',
-    'The store does not answer this host, which asked another one to read a '
-    'table in its place.',
-    'table',
+    'The store does not answer this host, which asked another one to read it '
+    'in its place.',
     'peer',
     'status',
     'unanswered_s',
 )
 SUBSTITUTE_READS = define(
     'EP1424',
-    'This host was asked to read a table of the store for the region and '
-    'called the store, which answered or not.',
-    'table',
+    'This host was asked to read the store for the region and called it; the '
+    'store answered or not.',
     'peer',
     'served',
     'revision',
--- a/ebonypick/process/_steering_host.py
+++ b/ebonypick/process/_steering_host.py
@@ -196,8 +196,7 @@
         keep = _tasks.keep_running
         for table, follower in self.store_view.followers.items():
             self.tasks.start(keep(table, follower.run))
-            find = functools.partial(self.store_view.substitutes.run, table)
-            self.tasks.start(keep(f'substitutes for {table}', find))
+        self.tasks.start(keep('substitutes', self.store_view.substitutes.run))
         self.tasks.start(keep('gossip', self.gossip.run))
         self.tasks.start(keep('hosts', self._follow_hosts))
         self.tasks.start(keep('reach', self.reach.run))
--- a/ebonypick/process/_store_view.py
+++ b/ebonypick/process/_store_view.py
@@ -10,6 +10,7 @@
 from ebonypick.process import _registrations
 from ebonypick.process import _row_broadcast
 from ebonypick.process import _row_order
+from ebonypick.process import _store_contact
 from ebonypick.process import _substitutes
 from ebonypick.process import _table_follower
 from ebonypick import spans
@@ -41,6 +42,7 @@
         watch_s = _table_follower.watch_timeout_s(
             spans.parse_span_s(node.settings.terms.contact)
         )
+        self.contact = _store_contact.StoreContact()
         self.followers = {
             platform.OPERATOR_TABLE: self._follow(
                 platform.OPERATOR_TABLE,
@@ -65,7 +67,7 @@
         }
         self.broadcaster = _row_broadcast.Broadcaster(node, self.followers)
         self.substitutes = _substitutes.Substitutes(
-            node, self.followers, self.broadcaster
+            node, self.contact, self.followers, self.broadcaster
         )
         self.host_rows = _host_rows.HostRows(
             node, self.followers[platform.HOST_TABLE]
@@ -77,20 +79,21 @@
             table,
             self._publish_and_broadcast(table, publish),
             self._node.connections.pools,
-            lambda: self._reads(table),
+            self._reads,
+            contact=self.contact,
             **terms,
         )
 
-    def _reads(self, table):
-        """Return whether this host reads a table, for itself and others."""
-        return self._node.roster.reads_store() or self.substitutes.reads(table)
+    def _reads(self):
+        """Return whether this host reads the store, for itself and others."""
+        return self._node.roster.reads_store() or self.substitutes.active
 
     def _publish_and_broadcast(self, table, publish):
         """Return a function that applies rows and broadcasts the change."""
 
         def take(rows):
             publish(rows)
-            if self._reads(table):
+            if self._reads():
                 self._node.tasks.start(self.broadcaster.broadcast(table))
 
         return take
--- a/ebonypick/process/_substitute_search.py
+++ b/ebonypick/process/_substitute_search.py
@@ -9,8 +9,9 @@
 ROUND_HOSTS = 3
 # Interval of the rounds while the last one found a host.
 ROUND_INTERVAL_S = 1.0
-# Upper limit of the interval, which doubles with each round that finds none.
-MAX_ROUND_INTERVAL_S = 4.0
+# Shortest and longest interval after rounds that found none; it doubles.
+MIN_SEARCH_INTERVAL_S = 0.5
+MAX_SEARCH_INTERVAL_S = 4.0
 
 
 class SubstituteSearch:
@@ -31,7 +32,8 @@
 
     def __init__(self):
         self._refused = set()
-        self._interval_s = ROUND_INTERVAL_S
+        self._found = False
+        self._interval_s = MIN_SEARCH_INTERVAL_S
         self._began_at = float('-inf')
 
     def begin_round(self, candidates, now):
@@ -51,8 +53,11 @@
         """
         if now < self._began_at + self._interval_s:
             return ()
-        if self._began_at > float('-inf'):
-            self._interval_s = min(MAX_ROUND_INTERVAL_S, 2 * self._interval_s)
+        if self._found:
+            self._interval_s = MIN_SEARCH_INTERVAL_S
+        elif self._began_at > float('-inf'):
+            self._interval_s = min(MAX_SEARCH_INTERVAL_S, 2 * self._interval_s)
+        self._found = False
         self._began_at = now
         if self._refused.issuperset(candidates):
             self._refused.clear()
@@ -62,6 +67,7 @@
     def record(self, host, served):
         """Record whether the store serves a host."""
         if served:
+            self._found = True
             self._interval_s = ROUND_INTERVAL_S
         else:
             self._refused.add(host)
--- a/ebonypick/process/_table_follower.py
+++ b/ebonypick/process/_table_follower.py
@@ -17,6 +17,7 @@
 from ebonypick import json_text
 from ebonypick import platform
 from ebonypick.process import _row_messages
+from ebonypick.process import _store_contact
 from ebonypick.process import _table_rows
 
 # Upper limit of the wait of a long poll.
@@ -26,9 +27,6 @@
 # Time that one more call on a new connection, and the broadcast of its rows
 # to other hosts over silent connections, may take.
 SPREAD_S = 1.0
-# Outages shorter than this and a long poll make no further host call the
-# store, as a reader cannot tell an outage from being turned away.
-SHORT_OUTAGE_S = 3.0
 # Pause after an update, so that changes in quick succession are read at once.
 COALESCE_S = 0.25
 INITIAL_RETRY_S = 0.3
@@ -102,6 +100,8 @@
         written after the earlier one (see ``TableRows``).
     watch_s : float
         The wait of a long poll in seconds.
+    contact : StoreContact, optional
+        Records the failures of calls for all tables of this host.
     """
 
     def __init__(
@@ -115,6 +115,7 @@
         retention_s=RESTORE_HOLD_S,
         is_later=lambda key, old, new: False,
         watch_s=WATCH_TIMEOUT_S,
+        contact=None,
     ):
         self._store = store
         self._table = table
@@ -124,12 +125,9 @@
         self._retain_lapsed = retain_lapsed
         self._retention_s = retention_s
         self._watch_s = watch_s
+        self._contact = contact or _store_contact.StoreContact()
         self._rows = _table_rows.TableRows(table, retention_s, is_later)
         self._unavailable_since = None
-        # When the first call failed since the last answer was sent, and when
-        # the latest call failed.
-        self._unanswered_since = None
-        self._failed_at = None
         self._recovered_at = None
         self._answered_at = None
         self._is_fetching = False
@@ -161,22 +159,6 @@
         """Whether the last call to the store failed."""
         return self._unavailable_since is not None
 
-    @property
-    def unanswered_s(self):
-        """The seconds for which calls to the store are known to fail."""
-        if self._unanswered_since is None:
-            return 0.0
-        return self._failed_at - self._unanswered_since
-
-    @property
-    def needs_substitute(self):
-        """Whether calls fail for so long that another host should read."""
-        return self.unanswered_s >= self._substitute_after_s
-
-    @property
-    def _substitute_after_s(self):
-        return self._watch_s + SHORT_OUTAGE_S
-
     def rows_since(self, after=platform.NO_REVISION):
         """Return the changes after a revision as a message to a peer."""
         return self._rows.rows_since(after, time.monotonic())
@@ -187,8 +169,8 @@
         known = False
         while True:
             if self.revision != platform.NO_REVISION and not self._reads():
-                if self._unanswered_since is not None:
-                    self._forget_failures()
+                self._unavailable_since = None
+                self._contact.reset()
                 await asyncio.sleep(ROLE_CHECK_S)
                 self._expire_retained()
                 continue
@@ -211,41 +193,38 @@
                 await self._poll_peers_for(pause_s)
                 pause_s = min(MAX_RETRY_S, 2 * pause_s)
 
-    async def probe(self, unanswered_s):
-        """Read the changes once in place of a host that gets no answers.
-
-        Parameters
-        ==========
-        unanswered_s : float
-            Seconds for which the store has not answered that host. The store
-            may have been away for all hosts, so rows that lapsed meanwhile
-            are retained as after an outage.
-
-        Returns
-        =======
-        bool
-            Whether the store answered.
-        """
-        self._unavailable_since = time.monotonic() - unanswered_s
+    async def probe(self):
+        """Read the changes by one call; return whether the store answered."""
         try:
             await self._catch_up()
         except errors.PlatformError as exc:
-            self._forget_failures()
             events.PLATFORM_FAILED.log(why=str(exc))
             return False
         return True
 
+    def assume_unavailable(self, seconds):
+        """Treat the next answer as the first one after an outage.
+
+        Parameters
+        ==========
+        seconds : float
+            For how long the store was unavailable, so that rows which lapsed
+            meanwhile are retained.
+        """
+        if self._unavailable_since is None:
+            self._unavailable_since = time.monotonic() - seconds
+
     async def _catch_up(self):
         """Apply the changes so far, without a wait for further ones."""
         try:
-            if await self._watch(0.0):
+            if await self._watch(0.0, pause_s=0.0):
                 return
         except platform.HistoryExpiredError:
             self._log_expired()
-        await self._read()
+        await self._read(pause_s=0.0)
 
-    async def _read(self):
-        """Read the whole table and publish it."""
+    async def _read(self, pause_s=COALESCE_S):
+        """Read the whole table and publish it, then pause."""
         state = await self._store.read_table(self._table)
         self._note_recovered()
         before = self.revision
@@ -254,7 +233,7 @@
         )
         self._log_restored(before)
         self._publish(self.rows)
-        await asyncio.sleep(COALESCE_S)
+        await asyncio.sleep(pause_s)
 
     async def _watch_through_silence(self):
         """Do the same as ``_watch``, also if its connection is silent.
@@ -273,13 +252,15 @@
             )
             return await self._watch(0.0)
 
-    async def _watch(self, wait_s):
+    async def _watch(self, wait_s, pause_s=COALESCE_S):
         """Wait for changes and apply them.
 
         Parameters
         ==========
         wait_s : float
             Longest time in seconds that the store waits for a change.
+        pause_s : float
+            Pause in seconds after a change.
 
         Returns
         =======
@@ -294,7 +275,7 @@
         self._rows.apply_changes(state, self._lapsed_until())
         if state.rows:
             self._publish(self.rows)
-            await asyncio.sleep(COALESCE_S)
+            await asyncio.sleep(pause_s)
         self._expire_retained()
         return True
 
@@ -310,10 +291,11 @@
         events.HISTORY_EXPIRED.log(table=self._table, revision=self.revision)
 
     def _note_unavailable(self, exc, called_at):
-        self._failed_at = time.monotonic()
+        now = time.monotonic()
+        silent = isinstance(exc, errors.SilentPlatformError)
+        self._contact.record_failure(called_at, now, silent)
         if self._unavailable_since is None:
-            self._unavailable_since = self._failed_at
-            self._unanswered_since = called_at
+            self._unavailable_since = now
             events.STORE_LOST.log(
                 table=self._table,
                 revision=self.revision,
@@ -321,11 +303,6 @@
                 why=str(exc),
             )
 
-    def _forget_failures(self):
-        """Forget failed calls, as this host no longer makes any."""
-        self._unavailable_since = None
-        self._unanswered_since = None
-
     def _answer_age_s(self):
         """Return the seconds since the store's last answer, or None."""
         if self._answered_at is None:
@@ -333,6 +310,7 @@
         return round(time.monotonic() - self._answered_at, 2)
 
     def _note_recovered(self):
+        self._contact.reset()
         self._answered_at = time.monotonic()
         if self._unavailable_since is None:
             return
@@ -347,7 +325,7 @@
         self._rows.extend_retention(
             now + min(LAPSED_HOLD_S, self._retention_s)
         )
-        self._forget_failures()
+        self._unavailable_since = None
 
     def _lapsed_until(self):
         """Return the time until which missing rows are retained, or None."""
@@ -397,14 +375,14 @@
     async def _poll_peers_for(self, pause_s):
         """Fetch newer rows from peers, repeatedly, for a jittered pause.
 
-        The pause ends early where the store is called once more before this
-        host needs a substitute.
+        It ends early where the next call decides whether this host needs a
+        substitute.
         """
         now = time.monotonic()
         end = now + pause_s * random.uniform(0.7, 1.3)
-        substitute_at = self._unanswered_since + self._substitute_after_s
-        if now < substitute_at:
-            end = min(end, substitute_at)
+        decides_at = self._contact.decides_at
+        if decides_at is not None and now < decides_at:
+            end = min(end, decides_at)
         await self.fetch_from_peer()
         while (left_s := end - time.monotonic()) > 0:
             await asyncio.sleep(min(left_s, PEER_INTERVAL_S))
