Let only answers to later calls end a count of failures

Only the answer to a call that was sent after the first failure counts now. Where all hosts of a region are readers nobody is asked, as it would change nothing.

--- a/ebonypick/process/_roster.py
+++ b/ebonypick/process/_roster.py
@@ -177,13 +177,15 @@
         tuple of str
             The other readers of the region, then its other live hosts, those
             with wide links first. Each host has its own order, so that two
-            readers choose different hosts.
+            readers choose different hosts. Empty where all are readers.
         """
         host = self._node.settings.host
         live = self.live()
         readers = self.readers()
         wide = _names(self._in_region(self._with_capacity(live)))
         every = _names(self._in_region(live))
+        if set(readers).issuperset(every):
+            return ()
         ranks = {name: 2 for name in every}
         ranks.update({name: 1 for name in wide})
         ranks.update({name: 0 for name in readers})
--- a/ebonypick/process/_store_contact.py
+++ b/ebonypick/process/_store_contact.py
@@ -25,7 +25,7 @@
     >>> contact.record_failure(4.6, 4.7)
     >>> contact.needs_substitute
     True
-    >>> contact.reset()
+    >>> contact.record_answer(sent_at=4.8)
     >>> contact.unanswered_s
     0.0
     """
@@ -37,9 +37,18 @@
         self.failed = asyncio.Event()
 
     def reset(self):
-        """Forget the failures, as the store answered or is not called."""
+        """Forget the failures, as this host no longer calls the store."""
         self._since = None
 
+    def record_answer(self, sent_at):
+        """Record the answer to a call that was sent at a monotonic time.
+
+        A call from before the failures may still be answered while new ones
+        are refused.
+        """
+        if self._since is not None and sent_at >= self._since:
+            self._since = None
+
     def record_failure(self, sent_at, failed_at, silent=False):
         """Record a call that failed.
 
--- a/ebonypick/process/_table_follower.py
+++ b/ebonypick/process/_table_follower.py
@@ -225,8 +225,9 @@
 
     async def _read(self, pause_s=COALESCE_S):
         """Read the whole table and publish it, then pause."""
+        called_at = time.monotonic()
         state = await self._store.read_table(self._table)
-        self._note_recovered()
+        self._note_recovered(called_at)
         before = self.revision
         self._rows.apply_snapshot(
             state, time.monotonic(), self._lapsed_until()
@@ -268,8 +269,9 @@
             False where the store is in another era, so that the whole table
             has to be read again.
         """
+        called_at = time.monotonic()
         state = await self._store.watch(self._table, self.revision, wait_s)
-        self._note_recovered()
+        self._note_recovered(called_at)
         if state.revision.era != self.revision.era:
             return False
         self._rows.apply_changes(state, self._lapsed_until())
@@ -309,8 +311,8 @@
             return None
         return round(time.monotonic() - self._answered_at, 2)
 
-    def _note_recovered(self):
-        self._contact.reset()
+    def _note_recovered(self, called_at):
+        self._contact.record_answer(called_at)
         self._answered_at = time.monotonic()
         if self._unavailable_since is None:
             return
--- a/ebonypick/process/tests/test_roster.py
+++ b/ebonypick/process/tests/test_roster.py
@@ -87,6 +87,11 @@
     assert _roster_of(every - {'c2-0'}, hosts).relaying() == {'c2': ('c2-0',)}
 
 
+@pytest.mark.parametrize('host', ['c0-0', 'c1-0'])
+def test_a_reader_asks_nobody_where_all_hosts_are_readers(host):
+    assert _roster_of((), _hosts(2, 1, 9), host).reader_candidates() == ()
+
+
 def test_a_reader_may_ask_all_hosts_of_its_region_the_other_reader_first():
     hosts = _hosts(6, 5, 2)
     region = {centre: hosts[centre] for centre in ('c0', 'c1')}
--- a/ebonypick/process/tests/test_store_contact.py
+++ b/ebonypick/process/tests/test_store_contact.py
@@ -52,7 +52,16 @@
 def test_an_answer_for_one_table_ends_the_need():
     contact = _store_contact.StoreContact()
     contact.record_failure(10.0, 20.0, silent=True)
-    contact.reset()
+    contact.record_answer(sent_at=20.05)
     contact.record_failure(20.1, 20.2)
     assert not contact.needs_substitute
     assert contact.decides_at == 20.2 + OUTAGE_S
+
+
+def test_an_answer_to_an_earlier_call_does_not_end_the_need():
+    """Guards against open calls that outlive the refusal of new ones."""
+    contact = _store_contact.StoreContact()
+    contact.record_failure(10.0, 10.1)
+    contact.record_answer(sent_at=9.0)
+    contact.record_failure(13.2, 13.3)
+    assert contact.needs_substitute
