--- a/tests/test_readers_turned_away.py
+++ b/tests/test_readers_turned_away.py
@@ -27,8 +27,8 @@
 # Time until readers that the store serves again call it, and until leases that
 # they asked for just before have ended.
 UNTIL_ROLES_S = _table_follower.MAX_RETRY_S * 1.3 + _substitutes.LEASE_S + 1.0
-# Share of these regions, among those that the system has to carry, in the
-# calls that the store serves.
+# The store's limit on calls, and what these regions get of it at the size of
+# docs/CAPACITY.md, 24 regions.
 STORE_CALLS_PER_S = 2_000
 MAX_CALLS_PER_S = STORE_CALLS_PER_S * len(steering_world.REGIONS) / 24
 
