--- a/review/rig3/rig.py
+++ b/review/rig3/rig.py
@@ -545,7 +545,8 @@
     """Read a body in chunks; the chunks are only parsed at its end.
 
     Parsing each of very many small chunks as it comes would make the client
-    the slowest part of a scene.
+    the slowest part of a scene. It is right only for a client that has sent
+    no other request behind this one.
     """
     raw = bytearray()
     while not (raw == b'0\r\n\r\n' or raw.endswith(b'\r\n0\r\n\r\n')):
