--- a/review/12/scene.py
+++ b/review/12/scene.py
@@ -1,6 +1,6 @@
 """Servers whose answers do not end, beside sound ones.
 
-Half of the servers spoil one in twenty of their answers: the body comes in
+Half of the servers spoil one in ten of their answers: the body comes in
 small chunks without end, until the caller closes. All other requests are
 answered by sound servers or are sound answers of the same servers.
 """
@@ -23,10 +23,11 @@
 TIME_LIMIT_S = {'read': 2.5, 'act': 3.0}
 # The disruption: share of the servers, share of their answers, and its time.
 SERVER_SHARE = 0.5
-ANSWER_SHARE = 0.05
+ANSWER_SHARE = 0.1
 BEGINS_S, LASTS_S, QUIET_S = 4.0, 5.0, 4.0
-# One answer without end comes with this rate, 5% of a link of 1,000 Mbit/s.
-BYTES_PER_S = 6_000_000
+# One answer without end comes with this rate at most, 10% of a link of
+# 1,000 Mbit/s.
+BYTES_PER_S = 12_000_000
 CHUNK = b'2\r\ny\n\r\n'
 STEP_S = 0.02
 # The rule: eight or more, and over a quarter of those that last longer than
